--- /dev/null
+++ b/onyxhead/agent/daemon.py
@@ -0,0 +1,289 @@
+"""The running agent: a server that takes its controller's pushes, and a dial loop that keeps it joined to one."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import errno
+import os
+import random
+import secrets
+import signal
+import time
+from pathlib import Path
+from typing import Any
+
+import structlog
+
+from onyxhead.agent import counters
+from onyxhead.agent.keeper import Keeper, Taken, Torn, read_state, state_of
+from onyxhead.agent.swap import NotSwapped, clear, swap
+from onyxhead.fronts.files import envoy, nginx
+from onyxhead.fronts.files.push import VIEW
+from onyxhead.http.client import ask_once
+from onyxhead.http.messages import STREAM, Fault, Request, Response, answer, problem
+from onyxhead.http.server import Server
+from onyxhead.settings.load import Address, Agent
+from onyxhead.tables.view import View
+
+JOIN_TIMEOUT = 2.0
+STATS_TIMEOUT = 1.0
+UNSENT = 3
+"""Reports kept for a controller that does not take them now; older ones would tell of another load."""
+
+log = structlog.get_logger()
+
+
+class Tree:
+    """The proxy's files and the agent's state on disk."""
+
+    def __init__(self, settings: Agent) -> None:
+        self.settings = settings
+        self.state = settings.state / "view.json"
+        self.shown: dict[Path, bytes] = {}
+        for folder in (settings.state, settings.files):
+            folder.mkdir(parents=True, exist_ok=True)
+            if left := clear(folder):
+                log.info("cleared what a killed swap left", files=left)
+
+    def load(self) -> View | None:
+        """The last whole state; None where there is none that can be used."""
+        try:
+            return read_state(self.state.read_bytes())
+        except FileNotFoundError:
+            return None
+        except Torn as error:
+            log.error("the state can't be used", file=self.state.name, why=str(error))
+            return None
+
+    def files(self, view: View) -> list[tuple[Path, bytes]]:
+        """What the proxy reads, made from a view."""
+        own = self.settings
+        made = {
+            "eds.json": envoy.endpoints(view, own.routes),
+            "rds.json": envoy.route_table(view, own.routes, own.stretch),
+            "upstreams.conf": nginx.upstreams(view, own.routes),
+        }
+        made |= {f"location-{route.group}.conf": nginx.location(view, route) for route in own.routes}
+        return [(own.files / name, body) for name, body in made.items()]
+
+    def put(self, view: View) -> None:
+        """Swaps the state and all files that differ. Raises NotSwapped, OSError."""
+        files = [(path, body) for path, body in self.files(view) if _content(self.shown.get(path)) != _content(body)]
+        swap([(self.state, state_of(view)), *files])
+        self.shown.update(files)
+
+
+def _content(body: bytes | None) -> bytes | None:
+    """A file without the view's tag: one that says the same under another tag need not be swapped."""
+    if body is None:
+        return None
+    if body.startswith(b"{"):
+        return body[body.index(b'"type_url"') :]
+    return body.partition(b"\n")[2] if body.startswith(b"# view") else body
+
+
+class Daemon:
+    def __init__(self, settings: Agent) -> None:
+        self.settings = settings
+        self.tree = Tree(settings)
+        standing = View.of({("standing", name): line for name, line in settings.standing.items()})
+        held = self.tree.load()
+        self.keeper = Keeper(standing if held is None else held)
+        self.boot = secrets.token_hex(6)
+        self.chance = random.Random(self.boot)
+        self.server = Server(self.answer, settings.most_body, closed=self._closed)
+        self.turn = asyncio.Lock()
+        self.lost = asyncio.Event()
+        self.over = asyncio.Event()
+        self.heard = 0.0
+        self.writer: asyncio.StreamWriter | None = None
+        self.controller: Address | None = None
+        self.report_every = 1.0
+        self.swaps = 0
+
+    async def run(self) -> None:
+        """Serves until told to end. Raises OSError if the address or the folders can't be had."""
+        # A crash may have come between the state and the files; they are made again from the state.
+        await asyncio.to_thread(self.tree.put, self.keeper.view)
+        host, port = await self.server.start(*self.settings.listen)
+        self.push = self.settings.advertise or (host, port)
+        loop = asyncio.get_running_loop()
+        for name in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(name, self.over.set)
+        log.info("serving", name=self.settings.name, host=host, port=port, tag=self.keeper.view.tag)
+        tasks = [asyncio.create_task(self._stay_joined())]
+        if self.settings.stats is not None:
+            tasks.append(asyncio.create_task(self._report(self.settings.stats)))
+        await asyncio.wait([asyncio.create_task(self.over.wait()), *tasks], return_when=asyncio.FIRST_COMPLETED)
+        self.server.close()
+        for task in tasks:
+            task.cancel()
+        for result in await asyncio.gather(*tasks, return_exceptions=True):
+            if isinstance(result, Exception):
+                log.error("a task failed", error=repr(result), exc_info=result)
+        log.info("ended", name=self.settings.name)
+
+    # Orders
+
+    async def answer(self, request: Request, writer: asyncio.StreamWriter) -> Response:
+        match request.method, request.target:
+            case (("HEAD" | "GET"), "/v1/view"):
+                if STREAM in request.headers:
+                    if not self._own(request, writer):
+                        return problem(409, "another stream is listened to")
+                    return self.keeper.shown()
+                return answer(200, self.keeper.view.document(), etag=self.keeper.view.tag)
+            case (("PUT" | "PATCH"), target) if target == VIEW:
+                self._own(request, writer)
+                # One order at a time: the base of the next is what this one leaves.
+                async with self.turn:
+                    return await self._apply(request)
+            case "GET", "/v1/health":
+                return answer(200, {"name": self.settings.name, "joined": not self.lost.is_set()})
+            case "GET", "/v1/state":
+                return answer(200, self.state())
+        return problem(404, "nothing here")
+
+    def _own(self, request: Request, writer: asyncio.StreamWriter) -> bool:
+        if request.headers.get(STREAM) != self.keeper.stream or not self.keeper.stream:
+            return False
+        self.heard, self.writer = time.monotonic(), writer
+        return True
+
+    async def _apply(self, request: Request) -> Response:
+        taken = self.keeper.take(request)
+        if not isinstance(taken, Taken):
+            log.warning("order refused", status=taken.status, method=request.method)
+            return taken
+        try:
+            await asyncio.to_thread(self.tree.put, taken.view)
+        except OSError as error:
+            log.error("not swapped", why=str(error))
+            full = error.errno in (errno.ENOSPC, errno.EDQUOT)
+            if not isinstance(error, NotSwapped):
+                # The state may be ahead of the files now; what the proxy reads is no longer known for sure.
+                self.tree.shown.clear()
+            return problem(507 if full else 500, f"not swapped: {error}")
+        self.swaps += 1
+        response = self.keeper.applied(taken)
+        log.info("applied", turn=taken.turn, tag=taken.view.tag, method=request.method)
+        self._reload()
+        return response
+
+    def _reload(self) -> None:
+        if (reload := self.settings.reload) is None:
+            return
+        try:
+            os.kill(int(reload.pid_file.read_text()), getattr(signal, f"SIG{reload.signal}"))
+        except (OSError, ValueError) as error:
+            log.warning("the proxy was not told", why=str(error))
+
+    def state(self) -> dict[str, Any]:
+        age = round(time.monotonic() - self.heard, 3) if self.heard else None
+        return {
+            "name": self.settings.name,
+            "controller": "{}:{}".format(*self.controller) if self.controller else None,
+            "heard_s_ago": age,
+            "turn": self.keeper.turn,
+            "tag": self.keeper.view.tag,
+            "swaps": self.swaps,
+            "lines": {
+                route.group: len(envoy.lines_of(self.keeper.view, route.group)) for route in self.settings.routes
+            },
+            "withdrawn": sorted(self.keeper.view.kind("withdrawn")),
+        }
+
+    # Being joined
+
+    def _closed(self, writer: asyncio.StreamWriter) -> None:
+        if writer is self.writer:
+            self.lost.set()
+
+    async def _stay_joined(self) -> None:
+        place = 0
+        while True:
+            address = self.settings.controllers[place % len(self.settings.controllers)]
+            wait = self.settings.redial * self.chance.uniform(0.5, 1.5)
+            try:
+                told = await self._join(address)
+            except (OSError, Fault, TimeoutError, ValueError, KeyError) as error:
+                log.info("not joined", controller=address, why=str(error) or type(error).__name__)
+                place += 1
+            else:
+                self.controller = address
+                log.info("joined", controller=address, stream=told)
+                await self._until_lost()
+                log.info("stream lost", controller=address)
+                self.controller = None
+                # The nearest controller is tried first again, since it may be back.
+                place = 0 if place or self.heard else 1
+            await asyncio.sleep(wait)
+
+    async def _join(self, address: Address) -> str:
+        view = self.keeper.view
+        body = {
+            "zone": self.settings.zone, "usual": self.settings.usual,
+            "standing": not any(path[0] == "bindings" for path in view.leaves),
+            "held": view.document(), "push": "{}:{}".format(*self.push),
+        }  # fmt: skip
+        request = answer(200, body)
+        target = f"/v1/proxies/{self.settings.name}"
+        # What an older stream still brings is refused from here on, so that nothing changes what was just told.
+        self.keeper.listen_to("")
+        async with self.turn:
+            pass
+        if view is not self.keeper.view:
+            raise OSError("an order came in the meantime")
+        response = await ask_once(address, Request("PUT", target, request.headers, request.body), JOIN_TIMEOUT)
+        if response.status != 200:
+            wait = response.headers.get("retry-after", "")
+            raise OSError(f"{response.status}{f', again in {wait} s' if wait else ''}")
+        told = response.json()
+        stream, self.report_every = str(told["stream"]), float(told["report_every"])
+        self.lost.clear()
+        self.heard, self.writer = time.monotonic(), None
+        self.keeper.listen_to(stream)
+        return stream
+
+    async def _until_lost(self) -> None:
+        """Until the stream's connection ends, or nothing has come on it for too long."""
+        while not self.lost.is_set():
+            left = self.heard + self.settings.silence - time.monotonic()
+            if left <= 0:
+                break
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.lost.wait(), left)
+        self.lost.set()
+        if self.writer is not None:
+            self.writer.close()
+
+    # Sums
+
+    async def _report(self, stats: Address) -> None:
+        before: counters.Counts = {}
+        since, number = time.monotonic(), 0
+        unsent: list[Any] = []
+        while True:
+            await asyncio.sleep(self.report_every)
+            try:
+                response = await ask_once(stats, Request("GET", "/stats"), STATS_TIMEOUT)
+                document = response.json()
+                after = counters.flatten(document)
+                loads = {str(address): float(busy) for address, busy in document.get("loads", {}).items()}
+            except (OSError, Fault, TimeoutError, ValueError, TypeError, KeyError, AttributeError) as error:
+                log.debug("no sums", why=str(error))
+                continue
+            now = time.monotonic()
+            number += 1
+            counted = counters.difference(before, after)
+            unsent.append(counters.report(self.settings.name, self.boot, number, now - since, counted, loads))
+            before, since, unsent = after, now, unsent[-UNSENT:]
+            target = f"/v1/proxies/{self.settings.name}/sums"
+            while unsent and self.controller is not None:
+                body = answer(200, unsent[0])
+                try:
+                    await ask_once(self.controller, Request("POST", target, body.headers, body.body), STATS_TIMEOUT)
+                except (OSError, Fault, TimeoutError):
+                    break
+                unsent.pop(0)
--- /dev/null
+++ b/onyxhead/agent/keeper.py
@@ -0,0 +1,99 @@
+"""Which orders an agent takes, with no I/O: the view it holds, whose stream it listens to, what it refuses and why."""
+
+from __future__ import annotations
+
+import json
+from typing import NamedTuple
+
+from onyxhead.http.messages import (
+    JSON,
+    MERGE_PATCH,
+    ORDER,
+    STREAM,
+    Request,
+    Response,
+    digest_fits,
+    problem,
+    read_order,
+)
+from onyxhead.tables.view import Malformed, View, read_patch
+
+
+class Taken(NamedTuple):
+    """An order that may be applied: swap to the view, then answer."""
+
+    view: View
+    turn: int
+
+
+class Torn(ValueError):
+    """What is on disk is no state that this program wrote."""
+
+
+class Keeper:
+    """The agent's memory. `view` is what the proxy's files say, or are about to say after a crash."""
+
+    def __init__(self, view: View) -> None:
+        self.view = view
+        self.stream = ""
+        self.turn = 0
+
+    def listen_to(self, stream: str) -> None:
+        """Only this stream's orders count from now on; an older one's are refused, however late they come."""
+        self.stream = stream
+
+    def take(self, request: Request) -> Taken | Response:
+        """An order to apply, or the refusal to answer with."""
+        own = request.headers.get(STREAM, "")
+        if not self.stream or own != self.stream:
+            return problem(409, "another stream is listened to")
+        if request.method not in ("PUT", "PATCH"):
+            return problem(405, f"{request.method} is not taken here")
+        if (told := request.headers.get("content-digest")) is None or not digest_fits(told, request.body):
+            return problem(400, "the body does not fit its Content-Digest, or has none")
+        base = request.headers.get("if-match", "")
+        if not base:
+            return problem(428, "If-Match is wanted")
+        if base != self.view.tag:
+            refused = problem(412, "another view is held")
+            return refused._replace(headers=refused.headers | {"etag": self.view.tag})
+        form = request.headers.get("content-type", "")
+        if form != (JSON if request.method == "PUT" else MERGE_PATCH):
+            refused = problem(415, f"{request.method} of {form or 'nothing named'} is not taken")
+            return refused._replace(headers=refused.headers | {"accept-patch": MERGE_PATCH})
+        try:
+            document = request.json()
+            view = View.read(document) if request.method == "PUT" else self.view.apply(read_patch(document))
+        except Malformed as error:
+            return problem(422, str(error))
+        except ValueError as error:
+            return problem(400, f"not JSON: {error}")
+        return Taken(view, read_order(request.headers.get(ORDER, "")).get("turn", 0))
+
+    def applied(self, taken: Taken) -> Response:
+        """The swap is done; this answers the order."""
+        self.view, self.turn = taken.view, taken.turn
+        return self.shown(204)
+
+    def shown(self, status: int = 200) -> Response:
+        return Response(status, {"etag": self.view.tag, "onyxhead-applied": str(self.turn)})
+
+    def state(self) -> bytes:
+        """What goes on disk before the proxy's files are swapped."""
+        return state_of(self.view)
+
+
+def state_of(view: View) -> bytes:
+    return json.dumps({"tag": view.tag, "view": view.document()}, separators=(",", ":")).encode() + b"\n"
+
+
+def read_state(body: bytes) -> View:
+    """The view in a state file. Raises Torn for one that is not whole: it is never used in part."""
+    try:
+        given = json.loads(body)
+        view = View.read(given["view"])
+        if given["tag"] != view.tag:
+            raise Torn("its tag does not fit its content")
+    except (ValueError, KeyError, TypeError, RecursionError) as error:
+        raise Torn(str(error)) from None
+    return view
--- /dev/null
+++ b/onyxhead/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The `onyxhead` command."""
--- /dev/null
+++ b/onyxhead/cli/main.py
@@ -0,0 +1,233 @@
+"""The `onyxhead` command: daemons, checks, what is known, trials.
+
+Exit codes: 0 done; 1 what was asked for does not hold, or was refused; 2 wrong use or faulty files; 3 not known,
+since someone did not answer."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import sys
+from pathlib import Path
+from typing import Any, NoReturn
+
+import click
+import structlog
+from rich.console import Console
+from rich.table import Table
+
+from onyxhead.http.client import ask_once
+from onyxhead.http.messages import Fault, Request
+from onyxhead.records.syntax import Faulty
+from onyxhead.settings import load
+from onyxhead.tables.view import Malformed, address_parts
+
+REFUSED, FAULTY, UNKNOWN = 1, 2, 3
+TIMEOUT = 3.0
+EXISTING = click.Path(path_type=Path)
+
+
+def stop(code: int, *lines: object) -> NoReturn:
+    for line in lines:
+        click.echo(str(line), err=True)
+    sys.exit(code)
+
+
+def read_settings(path: Path) -> load.Controller | load.Agent:
+    try:
+        return load.read(path)
+    except Faulty as error:
+        stop(FAULTY, *error.faults)
+
+
+def set_up_logs(given: load.Log) -> None:
+    level = logging.getLevelNamesMapping()[given.level.upper()]
+    last: Any = structlog.processors.JSONRenderer() if given.form == "json" else structlog.dev.ConsoleRenderer()
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso"),
+            structlog.processors.format_exc_info,
+            last,
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(level),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+
+
+@click.group()
+@click.version_option(package_name="onyxhead")
+def main() -> None:
+    """Assigns backends to plain proxies."""
+
+
+@main.command()
+@click.argument("settings", type=EXISTING)
+def serve(settings: Path) -> None:
+    """Run a controller."""
+    from onyxhead.controller.daemon import Daemon
+    from onyxhead.store.store import Unusable
+
+    known = read_settings(settings)
+    if not isinstance(known, load.Controller):
+        stop(FAULTY, f"{settings}:1:1: these are an agent's settings")
+    set_up_logs(known.log)
+
+    async def run() -> None:
+        await Daemon(known).run()
+
+    try:
+        asyncio.run(run())
+    except Unusable as error:
+        stop(REFUSED, error)
+    except OSError as error:
+        stop(REFUSED, f"{settings}: {error.strerror or error}")
+
+
+@main.command()
+@click.argument("settings", type=EXISTING)
+def agent(settings: Path) -> None:
+    """Run the agent beside a proxy."""
+    from onyxhead.agent.daemon import Daemon
+
+    known = read_settings(settings)
+    if not isinstance(known, load.Agent):
+        stop(FAULTY, f"{settings}:1:1: these are a controller's settings")
+    set_up_logs(known.log)
+
+    async def run() -> None:
+        await Daemon(known).run()
+
+    try:
+        asyncio.run(run())
+    except OSError as error:
+        stop(REFUSED, f"{settings}: {error.strerror or error}")
+
+
+@main.command()
+@click.argument("files", nargs=-1, required=True, type=EXISTING)
+def check(files: tuple[Path, ...]) -> None:
+    """Check settings files; every fault is named with its place."""
+    faults = []
+    for path in files:
+        try:
+            load.read(path)
+        except Faulty as error:
+            faults += error.faults
+    if faults:
+        stop(FAULTY, *faults)
+    click.echo(f"{len(files)} sound")
+
+
+@main.command()
+@click.argument("address")
+@click.option("--json", "as_json", is_flag=True, help="All that is known, as JSON.")
+def show(address: str, as_json: bool) -> None:
+    """Show what a controller or an agent knows."""
+    state = ask(address, "/v1/state")
+    if as_json:
+        click.echo(json.dumps(state, indent=2))
+    elif "proxies" in state:
+        show_controller(state)
+    else:
+        show_rows(state["name"], [{"what": key, "value": _cell(value)} for key, value in state.items()])
+
+
+@main.group()
+def trial() -> None:
+    """Play days live on loopback and judge them from recorded traffic."""
+
+
+@trial.command("list")
+def list_days() -> None:
+    """Name the days, and the kinds of trouble that can be joined by '+'."""
+    from onyxhead.trial.days import DAYS, TROUBLES
+
+    for name, troubles in DAYS.items():
+        click.echo(f"{name}: {', '.join(troubles) or 'nothing goes wrong'}")
+    click.echo(f"troubles: {' '.join(TROUBLES)}")
+
+
+@trial.command()
+@click.argument("name")
+@click.option("--json", "as_json", is_flag=True, help="The verdict as one JSON object.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--seconds", default=20.0, show_default=True, type=click.FloatRange(2, 3600))
+@click.option("--proxies", default=8, show_default=True, type=click.IntRange(1, 200))
+@click.option("--backends", default=9, show_default=True, type=click.IntRange(3, 100))
+@click.option("--controllers", default=2, show_default=True, type=click.IntRange(1, 6))
+@click.option("--rate", default=120.0, show_default=True, help="Flows a second.")
+@click.option("--keep", type=EXISTING, help="A folder for records, settings and logs.")
+def run(
+    name: str,
+    as_json: bool,
+    seed: int,
+    seconds: float,
+    proxies: int,
+    backends: int,
+    controllers: int,
+    rate: float,
+    keep: Path | None,
+) -> None:
+    """Play the day NAME. Exits with 0 only if no rule broke and no reader saw a mixture."""
+    from onyxhead.trial.run import Size, broken, play
+
+    try:
+        verdict = play(name, seed, seconds, Size(controllers, proxies, backends, rate), keep)
+    except KeyError as error:
+        stop(FAULTY, f"there is no day or trouble {error}")
+    if as_json:
+        click.echo(json.dumps(verdict))
+    else:
+        for key, value in verdict.items():
+            click.echo(f"{key:18} {_cell(value)}")
+    sys.exit(REFUSED if broken(verdict) else 0)
+
+
+def ask(address: str, target: str) -> Any:  # noqa: ANN401
+    """The answer's value; ends the command if there is none."""
+    try:
+        response = asyncio.run(ask_once(address_parts(address), Request("GET", target), TIMEOUT))
+        if response.status != 200:
+            stop(REFUSED, f"{address}: {response.status}")
+        return response.json()
+    except Malformed as error:
+        stop(FAULTY, error)
+    except (OSError, Fault, TimeoutError, ValueError) as error:
+        stop(UNKNOWN, f"{address}: no answer: {error or 'in time'}")
+
+
+def show_controller(state: dict[str, Any]) -> None:
+    channel, listed = state["channel"], state["list"]
+    click.echo(
+        f"{state['name']}  epoch {state['epoch']}  list {listed['version']} ({listed['age_s']} s)  "
+        f"channel {channel['waiting']}/{channel['most']} (peak {channel['peak']})"
+    )
+    rows = [{"proxy": name, **own, "tag": own["tag"][:11]} for name, own in state["proxies"].items()]
+    show_rows("proxies", rows)
+    rows = [{"backend": name, **own} for name, own in state["backends"].items()]
+    show_rows("backends", rows)
+
+
+def show_rows(title: str, rows: list[dict[str, Any]]) -> None:
+    if not rows:
+        click.echo(f"no {title}")
+        return
+    table = Table(title=title, title_justify="left", box=None)
+    for name in rows[0]:
+        table.add_column(name)
+    for row in rows:
+        table.add_row(*(_cell(value) for value in row.values()))
+    Console().print(table)
+
+
+def _cell(value: object) -> str:
+    if isinstance(value, dict):
+        return " ".join(f"{key}={each}" for key, each in value.items())
+    return ", ".join(map(str, value)) if isinstance(value, list) else str(value)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/onyxhead/controller/channel.py
@@ -0,0 +1,106 @@
+"""The way of orders from a controller to its proxies: one queue, in order, at a stated pace, never over its limit.
+
+No I/O: the host offers messages, asks which may leave now, and tells when a proxy's stream has taken one.
+
+A line waits from the moment it is ordered until the proxy's stream has taken it. A proxy that reads slowly keeps its
+own messages back and no one else's; but its lines go on counting, so a stream that takes nothing for `patience` is
+given up: the books then know that the proxy must join again, which is the only way to stay right about it.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Generic, NamedTuple, TypeVar
+
+from onyxhead.interface import Channel as Limits
+
+Order = TypeVar("Order")
+SECOND = 10_000
+
+
+class Sent(NamedTuple, Generic[Order]):
+    """One message: when it was ordered, and since when it waits where it is now."""
+
+    proxy: int
+    order: Order
+    lines: float
+    ordered: int
+    since: int
+
+
+class Overfull(Exception):
+    """The limit on lines or messages does not allow this one; nothing was queued."""
+
+
+class Channel(Generic[Order]):
+    """Times in tenths of a millisecond, lines as rule 5 counts them (heads included)."""
+
+    def __init__(self, limits: Limits, patience: int) -> None:
+        self.limits, self.patience = limits, patience
+        self.queue: deque[Sent[Order]] = deque()
+        self.streams: dict[int, deque[Sent[Order]]] = {}
+        self.written: dict[int, deque[int]] = {}
+        self.slower = 1.0
+        self.free_at = 0.0
+        self.peak = 0.0
+
+    def join(self, proxy: int) -> None:
+        self.leave(proxy)
+        self.streams[proxy] = deque()
+        self.written[proxy] = deque()
+
+    def leave(self, proxy: int) -> None:
+        """Whatever waits for the proxy is lost with its stream."""
+        self.streams.pop(proxy, None)
+        self.written.pop(proxy, None)
+        self.queue = deque(sent for sent in self.queue if sent.proxy != proxy)
+
+    @property
+    def waiting(self) -> float:
+        queued = sum(sent.lines for sent in self.queue)
+        return queued + sum(sent.lines for stream in self.streams.values() for sent in stream)
+
+    def offer(self, now: int, proxy: int, order: Order, lines: float) -> None:
+        """Queues one message. Raises Overfull, or KeyError for a proxy that has not joined."""
+        written = self.written[proxy]
+        while written and written[0] <= now - self.limits.messages_span:
+            written.popleft()
+        waiting = self.waiting + lines
+        if waiting > self.limits.most_waiting:
+            raise Overfull(f"{waiting:.0f} lines would wait, {self.limits.most_waiting:.0f} may")
+        if self.limits.messages_cap and len(written) >= self.limits.messages_cap:
+            raise Overfull(f"{len(written)} messages were written to the proxy, no more may be")
+        written.append(now)
+        self.peak = max(self.peak, waiting)
+        if not self.queue:
+            self.free_at = max(self.free_at, now)
+        self.queue.append(Sent(proxy, order, lines, now, now))
+
+    def leave_now(self, now: int) -> list[Sent[Order]]:
+        """Messages whose turn has come; they now wait at their proxies' streams."""
+        out: list[Sent[Order]] = []
+        while self.queue and (done := self._done()) <= now:
+            self.free_at = done
+            sent = self.queue.popleft()._replace(since=now)
+            self.streams[sent.proxy].append(sent)
+            out.append(sent)
+        return out
+
+    def taken(self, proxy: int) -> None:
+        """The proxy's stream has taken its oldest message."""
+        if self.streams.get(proxy):
+            self.streams[proxy].popleft()
+
+    def stuck(self, now: int) -> list[int]:
+        """Proxies whose streams have taken nothing for too long."""
+        return [p for p, stream in self.streams.items() if stream and now - stream[0].since > self.patience]
+
+    def next_at(self) -> int | None:
+        """When there is something to do again, if nothing new is offered."""
+        times = [stream[0].since + self.patience + 1 for stream in self.streams.values() if stream]
+        if self.queue:
+            times.append(-int(-self._done() // 1))
+        return min(times, default=None)
+
+    def _done(self) -> float:
+        return self.free_at + self.queue[0].lines * self.slower * SECOND / self.limits.lines_per_s
--- /dev/null
+++ b/onyxhead/controller/daemon.py
@@ -0,0 +1,337 @@
+"""The running controller: sockets, clock and disk round a `House`, which makes every step.
+
+One task drives the steps, one serves the controller's own interface, one follows discovery, one for each joined
+proxy carries its messages. None of them decides anything."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import secrets
+import signal
+import time
+from collections.abc import AsyncIterator
+from typing import Any, NamedTuple
+
+import structlog
+
+import onyxhead.interface as say
+from onyxhead.controller import discovery, roster, sums
+from onyxhead.controller.clock import Clock
+from onyxhead.controller.house import House, Joining, Work
+from onyxhead.controller.probe import look
+from onyxhead.fronts.files.push import Encoder, Refused, Stream
+from onyxhead.http.messages import Request, Response, answer, problem
+from onyxhead.http.server import Server
+from onyxhead.settings.load import Controller
+from onyxhead.store.store import Store
+from onyxhead.tables.orders import Message
+from onyxhead.tables.view import Malformed, View, address_parts
+
+SHORTEST_STEP = 0.004
+"""Seconds between two steps, so that what comes in together is decided together."""
+BEAT = 1.0
+NUMBER_OF_ORDERS = 100
+TENTHS = 10_000
+
+log = structlog.get_logger()
+
+
+class Line(NamedTuple):
+    """One proxy's stream: the task that carries it, and what it is to carry."""
+
+    token: str
+    task: asyncio.Task[None]
+    orders: asyncio.Queue[tuple[Message, int]]
+
+
+class Daemon:
+    def __init__(self, settings: Controller) -> None:
+        self.settings = settings
+        self.clock = Clock(time.time, time.monotonic)
+        self.store = Store(settings.state)
+        known = self.store.remembered
+        self.house = House(
+            settings.start, settings.groups, settings.zones, settings.seed + known.epoch, known.epoch,
+            settings.patience, self.clock.now(), known.numbers,
+        )  # fmt: skip
+        self.follower = roster.Follower(settings.zones, self.clock.of_wall, self.clock.now)
+        self.encoder = Encoder()
+        self.lines: dict[int, Line] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.stir = asyncio.Event()
+        self.over = asyncio.Event()
+        self.server = Server(self.answer)
+        self.probing = asyncio.Semaphore(settings.probes.at_once)
+        self.list_heard_at = 0.0
+        self._remember()
+
+    # Starting and ending
+
+    def _remember(self) -> None:
+        known, now = self.store.remembered, self.clock.now()
+        for note in self.store.notes:
+            log.warning("store", note=note)
+        if known.list_body is None:
+            log.info("starting with no list", epoch=known.epoch)
+            return
+        age = time.time() - known.heard
+        if not 0 <= age <= self.settings.list_good_for:
+            # A wall set back makes an old list look fresh or from the future; neither can be trusted.
+            log.warning("the remembered list is not used", age_s=round(age), good_for_s=self.settings.list_good_for)
+            return
+        try:
+            news = self.follower.remember(roster.read(known.list_body))
+        except roster.Unlisted as error:
+            log.warning("the remembered list is not used", why=str(error))
+            return
+        self.house.list_heard(now, news)
+        self.list_heard_at = known.heard
+        grace = self.settings.start.guards.drain_grace / TENTHS
+        recent = [b for b, at in known.withdrawn.items() if time.time() - at < max(60.0, 10 * grace)]
+        self.house.withdrawn_before(now, sorted(recent))
+        log.info(
+            "remembered",
+            epoch=known.epoch,
+            backends=len(news.listed),
+            list_age_s=round(age, 1),
+            gone=len(recent),
+        )
+
+    async def run(self) -> None:
+        """Serves until told to end. Raises OSError if the address can't be had."""
+        host, port = await self.server.start(*self.settings.listen)
+        loop = asyncio.get_running_loop()
+        for name in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(name, self.over.set)
+        log.info("serving", name=self.settings.name, host=host, port=port, epoch=self.house.epoch)
+        self._start(self._follow())
+        self._start(self._steps())
+        await self.over.wait()
+        self.server.close()
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.store.close()
+        log.info("ended", name=self.settings.name)
+
+    def _start(self, work: Any) -> asyncio.Task[None]:  # noqa: ANN401
+        task: asyncio.Task[None] = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self._done)
+        return task
+
+    def _done(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            # A step that fails leaves the books in doubt; the next life starts from what is on disk.
+            log.error("a task failed", error=repr(error), exc_info=error)
+            self.over.set()
+
+    # The steps
+
+    async def _steps(self) -> None:
+        while True:
+            self.stir.clear()
+            now = self.clock.now()
+            self._carry(now, self.house.act(now))
+            await asyncio.sleep(SHORTEST_STEP)
+            wait = (self.house.next_at() - self.clock.now()) / TENTHS
+            if wait > 0:
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(self.stir.wait(), wait)
+
+    def _carry(self, now: int, work: Work) -> None:
+        for sent in work.leaving:
+            if (line := self.lines.get(sent.proxy)) is not None:
+                line.orders.put_nowait((sent.order, sent.ordered))
+        for step in work.steps:
+            told = [_told(decision) for decision in step.decisions]
+            told = [each for each in told if each]
+            log.info("orders", turn=step.turn, causes=step.causes, orders=told)
+            self.store.ordered(self.house.epoch, step.turn, step.causes, told)
+            for decision in step.decisions:
+                if isinstance(decision, say.Shutout):
+                    self.store.withdrew(decision.backend, decision.shut)
+        for cut in work.cuts:
+            log.warning("stream given up", proxy=cut.name, why=cut.why)
+            if (line := self.lines.pop(cut.proxy, None)) is not None:
+                line.task.cancel()
+        for backend, address in work.probes:
+            self._start(self._probe(backend, address))
+        for remark in work.remarks:
+            log.info("remark", text=remark)
+
+    async def _probe(self, backend: str, address: str) -> None:
+        async with self.probing:
+            sight, busy = await look(address, self.settings.probes.path, self.settings.probes.timeout)
+        self.house.probed(self.clock.now(), backend, sight, busy)
+        self.stir.set()
+
+    # Discovery
+
+    async def _follow(self) -> None:
+        given = self.settings.discovery
+        heard: AsyncIterator[bytes | discovery.Unheard]
+        if given.file is not None:
+            heard = discovery.watch_file(given.file, given.every)
+        else:
+            assert given.server is not None
+            heard = discovery.ask_server(given.server, given.every, self.settings.name)
+        last = ""
+        async for body in heard:
+            try:
+                if isinstance(body, discovery.Unheard):
+                    raise body
+                read = roster.read(body)
+                news = self.follower.follow(read)
+            except (discovery.Unheard, roster.Unlisted) as error:
+                if last != str(error):
+                    last = str(error)
+                    log.warning("the list is not followed", why=last)
+                continue
+            last, self.list_heard_at = "", time.time()
+            if news is not None:
+                for note in news.notes:
+                    log.warning("list", note=note)
+                self.house.list_heard(self.clock.now(), news)
+                self.store.heard_list(read.version, read.body())
+                log.info("list", version=read.version, kind=news.kind.value, entries=len(news.listed))
+                self.stir.set()
+
+    # Proxies
+
+    async def _proxy(self, who: Joining, address: tuple[str, int], token: str) -> None:
+        """One stream from its opening to its end."""
+        patience = self.settings.patience / TENTHS
+        stream = Stream(address, token, self.encoder, patience)
+        me = asyncio.current_task()
+        assert me is not None
+        number = -1
+        try:
+            tag = await stream.open()
+            if tag != who.held.tag:
+                raise Refused("it holds another view than it said")
+            if (old := self.lines.get(self.house.number(who.name))) is not None and old.token != token:
+                old.task.cancel()
+            number = self.house.joins(self.clock.now(), who)
+            orders: asyncio.Queue[tuple[Message, int]] = asyncio.Queue()
+            self.lines[number] = Line(token, me, orders)
+            self.store.proxy(who.name, number, who.zone, tag, 0)
+            log.info("joined", proxy=who.name, number=number, zone=who.zone, standing=who.standing)
+            self.stir.set()
+            while True:
+                await self._next(stream, number, orders)
+        except OSError as error:
+            self._gone(number, token, str(error) or type(error).__name__)
+        except Refused as error:
+            log.warning("refused by its agent", proxy=who.name, why=str(error))
+            if number >= 0 and self._owns(number, token):
+                self.house.fault(self.clock.now(), number, str(error))
+                self.lines.pop(number, None)
+            else:
+                self.house.door.fault(self.clock.now(), who.name)
+            self.stir.set()
+        finally:
+            stream.close()
+
+    async def _next(self, stream: Stream, number: int, orders: asyncio.Queue[tuple[Message, int]]) -> None:
+        try:
+            message, ordered = await asyncio.wait_for(orders.get(), BEAT)
+        except TimeoutError:
+            held = stream.held
+            if await stream.look() != held:
+                raise Refused("its view has changed by itself") from None
+            return
+        await stream.send(message, ordered)
+        self.house.channel.taken(number)
+        tag = await stream.answer()
+        now = self.clock.now()
+        self.house.answered(now, number, message, tag, ordered)
+        known = self.house.joined.get(number)
+        if message.whole and known is not None:
+            self.store.proxy(known.name, number, self.settings.zones[known.zone], tag, message.turn)
+        self.stir.set()
+
+    def _owns(self, number: int, token: str) -> bool:
+        line = self.lines.get(number)
+        return line is not None and line.token == token
+
+    def _gone(self, number: int, token: str, why: str) -> None:
+        if number >= 0 and self._owns(number, token):
+            self.lines.pop(number, None)
+            self.house.left(self.clock.now(), number, why)
+            log.info("left", number=number, why=why)
+            self.stir.set()
+
+    # The controller's own interface
+
+    async def answer(self, request: Request, _writer: asyncio.StreamWriter) -> Response:
+        parts = request.target.split("?")[0].strip("/").split("/")
+        match request.method, parts:
+            case "GET", ["v1", "health"]:
+                return answer(200, {"name": self.settings.name, "epoch": self.house.epoch})
+            case "GET", ["v1", "state"]:
+                return answer(200, self.state())
+            case "GET", ["v1", "orders"]:
+                return answer(200, await asyncio.to_thread(self.store.orders, NUMBER_OF_ORDERS))
+            case "PUT", ["v1", "proxies", name]:
+                return self._join(name, request)
+            case "POST", ["v1", "proxies", name, "sums"]:
+                return self._sums(name, request)
+        return problem(404, "nothing here")
+
+    def state(self) -> dict[str, Any]:
+        kept = {"failing": self.store.failing, "dropped": self.store.dropped}
+        age = round(time.time() - self.list_heard_at, 1) if self.list_heard_at else None
+        version = self.follower.last.version if self.follower.last else None
+        own = {"name": self.settings.name, "list": {"version": version, "age_s": age}, "store": kept}
+        return own | self.house.state(self.clock.now())
+
+    def _join(self, name: str, request: Request) -> Response:
+        try:
+            given = request.json()
+            who = Joining(name, given["zone"], float(given["usual"]), bool(given["standing"]), View.read(given["held"]))
+            address = address_parts(given["push"])
+        except (ValueError, KeyError, TypeError, Malformed) as error:
+            return problem(400, f"not a join: {error}")
+        if who.zone not in self.settings.zones:
+            return problem(422, f"zone {who.zone!r} is not served here")
+        if not 0 <= who.usual < 1e9:
+            return problem(422, "usual flows out of range")
+        if (wait := self.house.door.wait(self.clock.now(), name)) > 0:
+            return Response(503, {"retry-after": str(-(-wait // TENTHS))}, b"")
+        try:
+            self.house.number(name)
+        except OverflowError as error:
+            return problem(507, str(error))
+        token = f"{self.settings.name}.{secrets.token_hex(8)}"
+        self._start(self._proxy(who, address, token))
+        every = self.settings.start.report_every / TENTHS
+        return answer(200, {"stream": token, "controller": self.settings.name, "report_every": every})
+
+    def _sums(self, name: str, request: Request) -> Response:
+        try:
+            given = request.json()
+            boot, number = given["node"]["metadata"]["boot"], given["node"]["metadata"]["number"]
+            if type(boot) is not str or type(number) is not int:
+                raise sums.Odd("boot or number is missing")
+            report = sums.read(given)
+        except (ValueError, KeyError, TypeError) as error:
+            return problem(400, f"not a report: {error}")
+        fresh = self.house.summed(self.clock.now(), name, boot, number, report)
+        return answer(200, {"taken": fresh})
+
+
+def _told(decision: say.Decision) -> list[Any] | None:
+    """A decision for logs and the journal; what only concerns the host is left out."""
+    match decision:
+        case say.Shutout(backend, shut):
+            return ["withdraw" if shut else "readmit", backend]
+        case say.TableChange(table, lines):
+            return ["lines", table, {backend: round(weight, 6) for backend, weight in lines}]
+        case say.Admission(table, groups, level, tries):
+            return ["level", table, list(groups), round(level, 4), tries]
+        case say.Assignment(proxy, table, groups):
+            return ["assign", proxy, table, list(groups)]
+    return None
--- /dev/null
+++ b/onyxhead/controller/house.py
@@ -0,0 +1,298 @@
+"""One controller's whole state and every step it takes, with no I/O: the module's host.
+
+What is heard comes in by method; `act` lets the module decide and returns what the daemon must carry out. Times are
+the module's (tenths of a millisecond). Each step is the same for the same inputs, live or replayed.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any, NamedTuple
+
+import onyxhead.interface as say
+from onyxhead.brain import Brain
+from onyxhead.controller.channel import Channel, Overfull, Sent
+from onyxhead.controller.door import Door
+from onyxhead.controller.roster import Followed
+from onyxhead.controller.sums import Gate, Gathered, Report
+from onyxhead.tables.orders import Books, Message
+from onyxhead.tables.view import View
+
+MOST_PROXIES = 65_535
+CAUSES = 12
+"""So many causes are told with an order; more say no more."""
+
+
+class Joining(NamedTuple):
+    """A proxy that asks to join, and what it holds. `usual` in flows a second."""
+
+    name: str
+    zone: str
+    usual: float
+    standing: bool
+    held: View
+
+
+class Cut(NamedTuple):
+    """A stream to give up, and why."""
+
+    proxy: int
+    name: str
+    why: str
+
+
+class Step(NamedTuple):
+    """One pull of the module that sent something: its turn, what it decided, and what had been heard before."""
+
+    turn: int
+    decisions: list[say.Decision]
+    causes: list[str]
+
+
+@dataclass
+class Work:
+    """What there is to carry out."""
+
+    steps: list[Step] = field(default_factory=list)
+    leaving: list[Sent[Message]] = field(default_factory=list)
+    probes: list[tuple[str, str]] = field(default_factory=list)
+    cuts: list[Cut] = field(default_factory=list)
+    remarks: list[str] = field(default_factory=list)
+    subscribe: bool = False
+
+
+class Joined(NamedTuple):
+    name: str
+    zone: int
+    since: int
+
+
+class House:
+    """`numbers` are the proxies' numbers of earlier lives, so that a proxy keeps its own."""
+
+    def __init__(
+        self,
+        start: say.Deployment,
+        groups: tuple[str, ...],
+        zones: tuple[str, ...],
+        seed: int,
+        epoch: int,
+        patience: int,
+        now: int,
+        numbers: dict[str, int] | None = None,
+    ) -> None:
+        self.start, self.groups, self.zones, self.epoch = start, groups, zones, epoch
+        self.brain = Brain(start, seed, now)
+        self.books = Books(groups, start.throttle, start.channel.head, epoch)
+        self.channel: Channel[Message] = Channel(start.channel, patience)
+        self.door, self.gate, self.gathered = Door(), Gate(), Gathered()
+        self.numbers = dict(numbers or {})
+        self.joined: dict[int, Joined] = {}
+        self.applied: dict[int, tuple[int, str]] = {}
+        self.by_address: dict[str, str] = {}
+        self.listed: dict[str, say.Listed] = {}
+        self.causes: list[str] = []
+        self.work = Work()
+        self.wake_at = self.tell_at = now
+        self.counts: Counter[str] = Counter()
+        self.group_numbers = {name: place for place, name in enumerate(groups)}
+
+    # What is heard
+
+    def list_heard(self, now: int, news: Followed) -> None:
+        for backend, place in news.places.items():
+            known = self.books.places.get(backend)
+            # Lines name the address they were sent with: another one is another process, to be let in anew.
+            if known is not None and known.address != place.address and backend in self.listed:
+                gone = self.listed[backend]._replace(ready=False, draining=False)
+                self.brain.learn_list(now, say.News.CHANGES, [gone])
+                self._cause(f"backend {backend} moved from {known.address} to {place.address}")
+                self._decide(now)
+            self.books.places[backend] = place
+            self.by_address[place.address] = backend
+        self.listed |= {entry.backend: entry for entry in news.listed}
+        self.brain.learn_list(now, news.kind, news.listed)
+        self._cause(f"list: {len(news.listed)} {'entries' if news.kind is say.News.WHOLE else 'changes'}")
+
+    def list_refused(self, now: int) -> None:
+        self.brain.learn_list(now, say.News.REFUSED, [])
+        self._cause("discovery refused")
+
+    def withdrawn_before(self, now: int, backends: Iterable[str]) -> None:
+        """Backends that an earlier life had withdrawn and the list no longer names: proxies may still hold them."""
+        gone = [say.Listed(b, 0, 0, False, False, 1.0, 0) for b in backends if b not in self.listed]
+        if gone:
+            self.listed |= {entry.backend: entry for entry in gone}
+            self.brain.learn_list(now, say.News.CHANGES, gone)
+
+    def number(self, name: str) -> int:
+        """The proxy's number. Raises OverflowError when there are none left."""
+        if name not in self.numbers:
+            free = max(self.numbers.values(), default=-1) + 1
+            if free >= MOST_PROXIES:
+                raise OverflowError(f"{MOST_PROXIES} proxies are known already")
+            self.numbers[name] = free
+        return self.numbers[name]
+
+    def joins(self, now: int, who: Joining) -> int:
+        """The proxy's stream stands; an earlier one of the same name is over. Returns its number."""
+        number = self.number(who.name)
+        if number in self.joined:
+            self.left(now, number)
+        self.work.cuts = [cut for cut in self.work.cuts if cut.proxy != number]
+        zone = self.zones.index(who.zone)
+        self.joined[number] = Joined(who.name, zone, now)
+        self.channel.join(number)
+        self.books.join(number, who.held)
+        self.brain.proxy_joined(now, number, zone, who.usual, who.standing)
+        self.counts["joins"] += 1
+        self._cause(f"{who.name} joined")
+        return number
+
+    def left(self, now: int, proxy: int, why: str = "") -> None:
+        """The proxy's stream is over; what waits for it is lost."""
+        if (known := self.joined.pop(proxy, None)) is None:
+            return
+        self.channel.leave(proxy)
+        self.books.leave(proxy)
+        self.applied.pop(proxy, None)
+        self.brain.proxy_left(now, proxy)
+        self.counts["breaks"] += 1
+        self._cause(f"{known.name} left{': ' + why if why else ''}")
+
+    def answered(self, now: int, proxy: int, message: Message, tag: str, ordered: int) -> None:
+        """The proxy says that it applied a message and holds the view with this tag."""
+        if proxy not in self.joined:
+            return
+        if tag != message.result.tag:
+            self.fault(now, proxy, "it holds another view than it was sent")
+            return
+        self.applied[proxy] = (message.turn, tag)
+        self.brain.turn_applied(now, proxy, message.turn, now - ordered)
+        self._cause(f"{self.joined[proxy].name} applied {message.turn}")
+
+    def fault(self, now: int, proxy: int, why: str) -> None:
+        """The proxy's side broke what was agreed; its stream is given up, and its next join may have to wait."""
+        if (known := self.joined.get(proxy)) is None:
+            return
+        self.door.fault(now, known.name)
+        self.counts["faults"] += 1
+        self._cut(now, proxy, why)
+
+    def summed(self, now: int, name: str, boot: str, number: int, report: Report) -> bool:
+        """One proxy's sums; False if they were heard before or the proxy is not joined here."""
+        proxy = self.numbers.get(name)
+        if proxy is None or proxy not in self.joined:
+            self.counts["sums of strangers"] += 1
+            return False
+        if not self.gate.fresh(name, boot, number):
+            self.counts["sums repeated"] += 1
+            return False
+        zone = self.joined[proxy].zone
+        self.gathered.add(zone, proxy, report, self.by_address, self.group_numbers)
+        return True
+
+    def probed(self, now: int, backend: str, sight: say.Sight, busy: float | None) -> None:
+        self.brain.learn_probe(now, backend, sight, say.Load(busy))
+
+    # What is decided
+
+    def act(self, now: int) -> Work:
+        """One step: sums that are due are told, the module decides, messages whose time has come leave."""
+        if now >= self.tell_at:
+            self.tell_at = now + self.start.report_every
+            met, flows = self.gathered.tell()
+            for zone, backend, own, load in met:
+                mean = round(own.time / (own.tries - own.bad)) if own.tries > own.bad else 0
+                span = own.span or self.start.report_every
+                self.brain.learn_tries(now, backend, zone, own.tries, own.bad, mean, span, load)
+            for proxy, group, came, span in flows:
+                self.brain.learn_intake(now, proxy, group, came, span)
+        self._decide(now)
+        for proxy in self.channel.stuck(now):
+            self.fault(now, proxy, "it takes nothing")
+        self.work.leaving = self.channel.leave_now(now)
+        work, self.work = self.work, Work()
+        return work
+
+    def next_at(self) -> int:
+        """When to act again if nothing is heard before."""
+        at = self.channel.next_at()
+        return min(self.wake_at, self.tell_at, at if at is not None else self.wake_at)
+
+    def _decide(self, now: int) -> None:
+        decisions, turn, work = list(self.brain.decisions(now)), 0, self.work
+        for decision in decisions:
+            match decision:
+                case say.TurnMark(marked):
+                    turn = marked
+                case say.Probe(backend) if backend in self.books.places:
+                    work.probes.append((backend, self.books.places[backend].address))
+                case say.Wakeup(after):
+                    self.wake_at = now + after
+                case say.Subscribe():
+                    work.subscribe = True
+                case say.Remark(text):
+                    work.remarks.append(text)
+        if turn:
+            for message in self.books.messages(turn, decisions):
+                self._send(now, message)
+            work.steps.append(Step(turn, decisions, self.causes))
+            self.causes = []
+
+    def _send(self, now: int, message: Message) -> None:
+        if message.proxy not in self.joined:
+            return
+        try:
+            self.channel.offer(now, message.proxy, message, message.lines)
+        except Overfull as error:
+            # The module takes what it ordered as sent. Only a new join makes it think about this proxy anew.
+            self.counts["refused by the limit"] += 1
+            self._cut(now, message.proxy, f"the channel's limit: {error}")
+
+    def _cut(self, now: int, proxy: int, why: str) -> None:
+        self.work.cuts.append(Cut(proxy, self.joined[proxy].name, why))
+        self.left(now, proxy, why)
+
+    def _cause(self, text: str) -> None:
+        if len(self.causes) < CAUSES:
+            self.causes.append(text)
+
+    # What operators see
+
+    def state(self, now: int) -> dict[str, Any]:
+        """All that is known, in plain values."""
+        up = {e.backend: e for e in self.listed.values()}
+        return {
+            "epoch": self.epoch,
+            "now": now,
+            "channel": {
+                "waiting": round(self.channel.waiting, 1),
+                "most": self.channel.limits.most_waiting,
+                "peak": round(self.channel.peak, 1),
+            },
+            "counts": dict(sorted(self.counts.items())) | {"tries at unknown": self.gathered.unknown},
+            "proxies": {
+                known.name: {
+                    "zone": self.zones[known.zone],
+                    "joined_for_s": round((now - known.since) / 10_000, 1),
+                    "bound": bool(self.books.bound(number)),
+                    "turn": self.applied.get(number, (0, ""))[0],
+                    "tag": self.applied.get(number, (0, ""))[1],
+                }
+                for number, known in sorted(self.joined.items())
+            },
+            "backends": {
+                name: {
+                    "address": place.address,
+                    "zone": place.zone,
+                    "ready": name in up and up[name].ready,
+                    "draining": name in up and up[name].draining,
+                    "withdrawn": name in self.books.withdrawn,
+                    "lines": {str(table): lines[name] for table, lines in self.books.tables.items() if name in lines},
+                }
+                for name, place in sorted(self.books.places.items())
+            },
+        }
--- /dev/null
+++ b/onyxhead/controller/probe.py
@@ -0,0 +1,57 @@
+"""Looks at one backend and says what was seen."""
+
+from __future__ import annotations
+
+import json
+import math
+from collections.abc import Mapping
+
+from onyxhead.http.client import ask_once
+from onyxhead.http.messages import Fault, Request
+from onyxhead.interface import Sight
+from onyxhead.tables.view import address_parts
+
+LOAD_REPORT = "endpoint-load-metrics"
+"""The header of a published load report (ORCA), as JSON or as text."""
+
+
+async def look(address: str, path: str, timeout: float) -> tuple[Sight, float | None]:
+    """What a health request met, and the busy share that the backend told, if any."""
+    try:
+        response = await ask_once(address_parts(address), Request("GET", path), timeout)
+    except TimeoutError:
+        return Sight.SILENT, None
+    except (OSError, Fault):
+        return Sight.OUT_OF_REACH, None
+    sight = Sight.SERVED if 200 <= response.status < 300 else Sight.NO_ROOM
+    return sight, busy_share(load_report(response.headers))
+
+
+def load_report(headers: Mapping[str, str]) -> dict[str, float]:
+    """The finite figures of a load report header; empty for none, or for one that can't be read."""
+    form, _, told = headers.get(LOAD_REPORT, "").partition(" ")
+    pairs: list[tuple[str, object]] = []
+    if form.upper() == "JSON":
+        try:
+            given = json.loads(told)
+        except (ValueError, RecursionError):
+            given = None
+        for name, value in given.items() if isinstance(given, dict) else ():
+            pairs += value.items() if isinstance(value, dict) else [(name, value)]
+    elif form.upper() == "TEXT":
+        pairs = [(name.strip(), value) for name, _, value in (each.partition("=") for each in told.split(","))]
+    found = {}
+    for name, value in pairs:
+        try:
+            figure = float(value) if isinstance(value, int | float | str) else math.nan
+        except (ValueError, OverflowError):
+            continue
+        if math.isfinite(figure):
+            found[name.removeprefix("named_metrics.")] = figure
+    return found
+
+
+def busy_share(report: Mapping[str, float]) -> float | None:
+    """The share of its cores that a backend says are in use; None if it does not say, or says what can't be."""
+    busy = report.get("cpu_utilization")
+    return min(1.0, busy) if busy is not None and 0 <= busy <= 1.5 else None
--- /dev/null
+++ b/onyxhead/fronts/__init__.py
@@ -0,0 +1,1 @@
+"""The ways in and out of the controller's core."""
--- /dev/null
+++ b/onyxhead/fronts/files/__init__.py
@@ -0,0 +1,1 @@
+"""The file front: pushes of whole and changed files to agents, and the files that proxies read."""
--- /dev/null
+++ b/onyxhead/settings/load.py
@@ -0,0 +1,230 @@
+"""From a checked record to the values that a daemon is started with."""
+
+from __future__ import annotations
+
+from functools import cache
+from importlib import resources
+from pathlib import Path
+from typing import NamedTuple
+
+import onyxhead.interface as say
+from onyxhead.records.files import check, gather
+from onyxhead.records.meaning import Found
+from onyxhead.records.syntax import Fault, Faulty, File, Literal, Place
+from onyxhead.tables.view import Leaf, address_parts
+
+Address = tuple[str, int]
+KINDS = {"controller": "#Controller", "agent": "#Agent"}
+
+
+class Log(NamedTuple):
+    level: str
+    form: str
+
+
+class Discovery(NamedTuple):
+    """A watched file, or a server that is asked; looked at every so many seconds."""
+
+    file: Path | None
+    server: Address | None
+    every: float
+
+
+class Probes(NamedTuple):
+    path: str
+    timeout: float
+    at_once: int
+
+
+class Controller(NamedTuple):
+    """Times in seconds but for those of `start`, which are the module's."""
+
+    name: str
+    listen: Address
+    state: Path
+    seed: int
+    groups: tuple[str, ...]
+    zones: tuple[str, ...]
+    start: say.Deployment
+    patience: int
+    discovery: Discovery
+    list_good_for: float
+    probes: Probes
+    log: Log
+
+
+class Route(NamedTuple):
+    """How a proxy finds a traffic group, and what its tries are until a controller tells. Budget in seconds."""
+
+    group: str
+    prefix: str
+    latency_budget: float
+    tries: int
+
+
+class Reload(NamedTuple):
+    pid_file: Path
+    signal: str
+
+
+class Agent(NamedTuple):
+    """Times in seconds."""
+
+    name: str
+    zone: str
+    listen: Address
+    advertise: Address | None
+    files: Path
+    state: Path
+    controllers: tuple[Address, ...]
+    usual: float
+    routes: tuple[Route, ...]
+    stretch: float
+    standing: dict[str, Leaf]
+    stats: Address | None
+    silence: float
+    redial: float
+    most_body: int
+    reload: Reload | None
+    log: Log
+
+
+@cache
+def schema() -> str:
+    return resources.files("onyxhead.settings").joinpath("schema.rec").read_text(encoding="utf-8")
+
+
+def read(path: Path) -> Controller | Agent:
+    """The settings in a file, of whichever kind it says. Raises Faulty."""
+    files = gather(path)
+    kind = kind_of(files)
+    found = check(files, schema(), KINDS[kind])
+    return controller(found, path) if kind == "controller" else agent(found, path)
+
+
+def kind_of(files: list[File]) -> str:
+    """What the files set up: told by `kind`, or else by the fields that only one kind has."""
+    members = {member.name: member.value for file in files for member in file.struct.members}
+    told = members.get("kind")
+    if isinstance(told, Literal) and told.value in KINDS:
+        return str(told.value)
+    return "agent" if "files" in members or "standing" in members else "controller"
+
+
+def _seconds(tenths: int) -> float:
+    return tenths / 10_000
+
+
+def controller(found: Found, path: Path) -> Controller:
+    """Raises Faulty for figures that contradict each other."""
+    zones = tuple(found["zones"])
+    faults: list[Fault] = []
+
+    def wrong(text: str, *place: str) -> None:
+        faults.append(Fault(found.place(*place), text))
+
+    if found["zone"] not in zones:
+        wrong(f"zone {found['zone']!r} is not one of zones", "zone")
+    if not found["groups"]:
+        wrong("no traffic group", "groups")
+    groups = []
+    for name, group in found["groups"].items():
+        for zone in group.get("zones") or ():
+            if zone not in zones:
+                wrong(f"zone {zone!r} of {name} is not one of zones", "groups", name, "zones")
+        if group["latency_budget"] > group["expiry"]:
+            wrong(f"latency_budget of {name} is longer than its expiry", "groups", name, "latency_budget")
+        if group["repeats"] == "deduped" and not group["dedup_window"]:
+            wrong(f"{name} is deduped and needs a dedup_window", "groups", name, "repeats")
+        own = frozenset(map(zones.index, group["zones"])) if group.get("zones") and not faults else None
+        groups.append(
+            say.TrafficGroup(
+                name,
+                group["utility"],
+                group["latency_budget"],
+                group["expiry"],
+                say.Repeats(group["repeats"]),
+                group["dedup_reach"],
+                group["dedup_window"],
+                own,
+                group["home_zone_only"],
+            )  # fmt: skip
+        )
+    channel, guards, tries = found["channel"], found["guards"], found["tries"]
+    least = 4 * (channel["head"] + 1)
+    if channel["most_waiting"] < least:
+        wrong(
+            f"most_waiting leaves no room for messages of {channel['head']} and a line",
+            "channel",
+            "most_waiting",
+        )
+    if faults:
+        raise Faulty(faults)
+    throttles = {"share": say.Throttle.SHARE, "rate": say.Throttle.RATE, "off": say.Throttle.OFF}
+    start = say.Deployment(
+        zone=zones.index(found["zone"]),
+        zones=len(zones),
+        controllers=found["controllers"],
+        proxies=found["proxies"],
+        groups=tuple(groups),
+        channel=say.Channel(
+            channel["pace"], float(channel["head"]), float(channel["most_waiting"]), channel["transit"],
+            max(channel["transit"], channel["slowest_transit"]), channel["messages_cap"], channel["messages_span"],
+        ),
+        guards=say.Guards(
+            guards["unserved_limit"], guards["drain_grace"], guards["only_draining_binds"], guards["cold_share"],
+            guards["cold_time"], guards["overload_factor"], guards["fall_time"], guards["refusal_may_have_run"], 0,
+        ),
+        throttle=throttles[found["throttle"]],
+        usual_tries=tries["usual"],
+        try_stretch=tries["stretch"],
+        avoided_after=tries["avoided_after"],
+        report_every=found["report_every"],
+        probes_allowed=found["probes"]["allowed"],
+        must_subscribe=False,
+    )  # fmt: skip
+    given = found["discovery"]
+    here = path.parent
+    file = here / given["file"] if "file" in given else None
+    server = address_parts(given["server"]) if "server" in given else None
+    probes = found["probes"]
+    return Controller(
+        found["name"], address_parts(found["listen"]), here / found["state"], found["seed"],
+        tuple(group.name for group in groups), zones, start, channel["patience"],
+        Discovery(file, server, _seconds(given["every"])), _seconds(found["list_good_for"]),
+        Probes(probes["path"], _seconds(probes["timeout"]), probes["at_once"]), Log(**found["log"]),
+    )  # fmt: skip
+
+
+def agent(found: Found, path: Path) -> Agent:
+    """Raises Faulty for routes that no flow could tell apart."""
+    faults: list[Fault] = []
+    routes: list[Route] = []
+    for name, group in found["groups"].items():
+        if group["prefix"] in {route.prefix for route in routes}:
+            faults.append(Fault(found.place("groups", name, "prefix"), f"prefix of {name} is another group's too"))
+        routes.append(Route(name, group["prefix"], _seconds(group["latency_budget"]), group["tries"]))
+    if not routes:
+        faults.append(Fault(found.place("groups"), "no traffic group"))
+    if faults:
+        raise Faulty(faults)
+    standing = {
+        name: {"address": line["address"], "weight": 1_000_000, "zone": line["zone"]}
+        for name, line in found["standing"].items()
+    }
+    here, reload = path.parent, found.get("reload")
+    return Agent(
+        found["name"], found["zone"], address_parts(found["listen"]), _maybe(found.get("advertise")),
+        here / found["files"], here / found["state"], tuple(map(address_parts, found["controllers"])),
+        found["usual"], tuple(routes), found["stretch"], standing, _maybe(found.get("stats")),
+        _seconds(found["silence"]), _seconds(found["redial"]), found["most_body"],
+        Reload(here / reload["pid_file"], reload["signal"]) if reload else None, Log(**found["log"]),
+    )  # fmt: skip
+
+
+def _maybe(address: str | None) -> Address | None:
+    return address_parts(address) if address else None
+
+
+def first_place(path: Path) -> Place:
+    return Place(str(path), 1, 1)
--- /dev/null
+++ b/onyxhead/store/__init__.py
@@ -0,0 +1,1 @@
+"""What a controller keeps on disk, in an embedded SQLite database."""
--- /dev/null
+++ b/onyxhead/store/store.py
@@ -0,0 +1,178 @@
+"""The controller's memory across its own death: lists, the proxies' numbers, withdrawals, the journal of orders.
+
+Writes go through one thread in batches, each batch one transaction that is flushed before it counts. Orders never
+wait for the disk: what was ordered but not yet written is told again by discovery and by the proxies themselves.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import queue
+import sqlite3
+import threading
+import time
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from typing import Any, NamedTuple
+
+LISTS_KEPT = 50
+ORDERS_KEPT = 20_000
+MOST_PENDING = 10_000
+RETRY = 1.0
+
+TABLES = """
+create table if not exists meta (name text primary key, value) strict, without rowid;
+create table if not exists lists (number integer primary key, heard real, version integer, body blob) strict;
+create table if not exists proxies (
+    name text primary key, number integer not null unique, zone text, tag text, turn integer, seen real
+) strict, without rowid;
+create table if not exists withdrawn (backend text primary key, at real) strict, without rowid;
+create table if not exists orders (
+    number integer primary key, at real, epoch integer, turn integer, causes text, decisions text
+) strict;
+""".replace("value) strict", "value any) strict")
+
+Write = tuple[str, tuple[Any, ...]]
+
+
+class Remembered(NamedTuple):
+    """What the last life left. `heard` and `withdrawn` in seconds of the wall's clock."""
+
+    epoch: int
+    list_body: bytes | None
+    heard: float
+    numbers: dict[str, int]
+    withdrawn: dict[str, float]
+
+
+class Unusable(Exception):
+    """The store can't be opened or written; the text says why."""
+
+
+class Store:
+    """One database file. Opening it begins a new epoch, which is on disk before the first order."""
+
+    def __init__(self, folder: Path, wall: Callable[[], float] = time.time) -> None:
+        self.path, self.wall = folder / "onyxhead.db", wall
+        self.notes: list[str] = []
+        try:
+            folder.mkdir(parents=True, exist_ok=True)
+            self.remembered = self._open()
+        except (OSError, sqlite3.Error) as error:
+            raise Unusable(f"{self.path}: {error}") from None
+        self.failing = ""
+        self.dropped = 0
+        self._writes: queue.SimpleQueue[Write | None] = queue.SimpleQueue()
+        self._thread = threading.Thread(target=self._run, name="store", daemon=True)
+        self._thread.start()
+
+    def _open(self) -> Remembered:
+        try:
+            return self._begin()
+        except sqlite3.DatabaseError as error:
+            if isinstance(error, sqlite3.OperationalError):
+                raise
+        # A broken file is kept for whoever wants to look, and never trusted again.
+        aside = self.path.with_name(f"{self.path.name}.broken-{int(self.wall())}")
+        for end in ("", "-wal", "-shm"):
+            with contextlib.suppress(FileNotFoundError):
+                self.path.with_name(self.path.name + end).rename(str(aside) + end)
+        self.notes.append(f"the store was broken and is now {aside.name}; starting with nothing remembered")
+        return self._begin()
+
+    def _begin(self) -> Remembered:
+        with contextlib.closing(self._connect()) as db:
+            if (found := db.execute("pragma quick_check").fetchone()[0]) != "ok":
+                raise sqlite3.DatabaseError(found)
+            db.executescript(TABLES)
+            with db:
+                row = db.execute("select value from meta where name = 'epoch'").fetchone()
+                epoch = (row[0] if row else 0) + 1
+                db.execute("insert or replace into meta values ('epoch', ?)", (epoch,))
+            last = db.execute("select body, heard from lists order by number desc limit 1").fetchone()
+            numbers = dict(db.execute("select name, number from proxies").fetchall())
+            withdrawn = dict(db.execute("select backend, at from withdrawn").fetchall())
+        return Remembered(epoch, last[0] if last else None, last[1] if last else 0.0, numbers, withdrawn)
+
+    def _connect(self) -> sqlite3.Connection:
+        db = sqlite3.connect(self.path, timeout=5.0)
+        db.execute("pragma journal_mode = wal")
+        db.execute("pragma synchronous = full")
+        return db
+
+    # What is kept
+
+    def heard_list(self, version: int, body: bytes) -> None:
+        self._put("insert into lists (heard, version, body) values (?, ?, ?)", self.wall(), version, body)
+        self._put(f"delete from lists where number <= (select max(number) - {LISTS_KEPT} from lists)")
+
+    def proxy(self, name: str, number: int, zone: str, tag: str, turn: int) -> None:
+        self._put(
+            "insert into proxies values (?, ?, ?, ?, ?, ?) on conflict (name) do update set"
+            " zone = excluded.zone, tag = excluded.tag, turn = excluded.turn, seen = excluded.seen",
+            name, number, zone, tag, turn, self.wall(),
+        )  # fmt: skip
+
+    def withdrew(self, backend: str, shut: bool) -> None:
+        if shut:
+            self._put("insert or replace into withdrawn values (?, ?)", backend, self.wall())
+        else:
+            self._put("delete from withdrawn where backend = ?", backend)
+
+    def ordered(self, epoch: int, turn: int, causes: Iterable[str], decisions: list[Any]) -> None:
+        texts = json.dumps(list(causes)), json.dumps(decisions)
+        self._put(
+            "insert into orders (at, epoch, turn, causes, decisions) values (?, ?, ?, ?, ?)",
+            self.wall(), epoch, turn, *texts,
+        )  # fmt: skip
+        if turn % 256 == 0:
+            self._put(f"delete from orders where number <= (select max(number) - {ORDERS_KEPT} from orders)")
+
+    def orders(self, most: int) -> list[dict[str, Any]]:
+        """The last orders, newest first. Raises Unusable."""
+        names = ("number", "at", "epoch", "turn", "causes", "decisions")
+        try:
+            with contextlib.closing(self._connect()) as db:
+                sql = f"select {', '.join(names)} from orders order by number desc limit ?"
+                rows = db.execute(sql, (most,)).fetchall()
+        except sqlite3.Error as error:
+            raise Unusable(f"{self.path}: {error}") from None
+        found = [dict(zip(names, row, strict=True)) for row in rows]
+        return [each | {key: json.loads(each[key]) for key in ("causes", "decisions")} for each in found]
+
+    def close(self) -> None:
+        """Everything handed over is on disk when this returns, if the disk takes it."""
+        self._writes.put(None)
+        self._thread.join(10.0)
+
+    def _put(self, sql: str, *values: object) -> None:
+        if self._writes.qsize() > MOST_PENDING:
+            self.dropped += 1
+            return
+        self._writes.put((sql, values))
+
+    def _run(self) -> None:
+        batch: list[Write] = []
+        over = False
+        while not over:
+            if not batch and (write := self._writes.get()) is not None:
+                batch.append(write)
+            over = not batch
+            while not over and not self._writes.empty():
+                write = self._writes.get()
+                over = write is None
+                if write is not None:
+                    batch.append(write)
+            try:
+                if batch:
+                    with contextlib.closing(self._connect()) as db, db:
+                        for sql, values in batch:
+                            db.execute(sql, values)
+                batch, self.failing = [], ""
+            except sqlite3.Error as error:
+                self.failing = str(error)
+                # A full disk may have room again; what waits is kept, within bounds, and written then.
+                self.dropped += max(0, len(batch) - MOST_PENDING)
+                del batch[: max(0, len(batch) - MOST_PENDING)]
+                time.sleep(0 if over else RETRY)
--- /dev/null
+++ b/onyxhead/tables/orders.py
@@ -0,0 +1,177 @@
+"""From the module's decisions of one pull to the one message that each proxy gets, and what it costs in lines.
+
+The books know, for every joined proxy, the view it will hold once all messages sent to it have been applied.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+import onyxhead.interface as say
+from onyxhead.tables.view import Document, Leaf, Path, View, nested
+
+PARTS = 1_000_000
+"""A listed weight of 1 in a line's weight; lines carry whole numbers, as the published formats do."""
+
+
+class Place(NamedTuple):
+    """Where a backend answers, as discovery last told it."""
+
+    address: str
+    zone: str
+
+
+class Message(NamedTuple):
+    """One proxy's orders of one pull: from the view with tag `base` to `result`."""
+
+    proxy: int
+    turn: int
+    whole: bool
+    base: str
+    result: View
+    changes: Mapping[Path, Leaf | None]
+    lines: float
+    urgent: bool
+
+    def document(self) -> Document:
+        return self.result.document() if self.whole else nested(self.changes)
+
+
+class Books:
+    """Tables, levels and withdrawals of one controller, and the view of each joined proxy.
+
+    `head` is what a message costs beyond its own lines.
+    """
+
+    def __init__(self, groups: tuple[str, ...], throttle: say.Throttle, head: float, epoch: int) -> None:
+        self.groups, self.throttle, self.head, self.epoch = groups, throttle, head, epoch
+        self.places: dict[str, Place] = {}
+        self.tables: dict[int, dict[str, int]] = {}
+        self.levels: dict[tuple[int, int], Leaf] = {}
+        self.withdrawn: dict[str, None] = {}
+        self.views: dict[int, View] = {}
+        self.users: dict[int, set[int]] = {}
+        self.wholes: dict[tuple[object, ...], View] = {}
+
+    def join(self, proxy: int, held: View) -> None:
+        """The proxy told what it holds; until it is bound here its own tables go on serving."""
+        self.leave(proxy)
+        self.views[proxy] = held
+
+    def leave(self, proxy: int) -> None:
+        self.views.pop(proxy, None)
+        for users in self.users.values():
+            users.discard(proxy)
+
+    def name(self, table: int) -> str:
+        # Two controllers number their tables alike; a proxy that moves must not take one for the other.
+        return f"{self.epoch}.{table}"
+
+    def messages(self, turn: int, decisions: Iterable[say.Decision]) -> list[Message]:
+        """One message for each proxy concerned, in the order in which the module first named them."""
+        changes: dict[int, dict[Path, Leaf | None]] = {}
+        lines: dict[int, float] = {}
+        whole: dict[int, None] = {}
+        urgent: set[int] = set()
+
+        def write(proxies: Iterable[int], path: Path, leaf: Leaf | None) -> None:
+            for proxy in proxies:
+                changes.setdefault(proxy, {})[path] = leaf
+                lines[proxy] = lines.get(proxy, self.head) + 1
+
+        for decision in decisions:
+            if isinstance(decision, say.Shutout | say.TableChange | say.Admission):
+                self.wholes.clear()
+            match decision:
+                case say.Shutout(backend, shut):
+                    if shut:
+                        self.withdrawn[backend] = None
+                        urgent.update(self.views)
+                    else:
+                        self.withdrawn.pop(backend, None)
+                    write(self.views, ("withdrawn", backend), True if shut else None)
+                case say.TableChange(table, changed):
+                    held = self.tables.setdefault(table, {})
+                    for backend, weight in changed:
+                        parts = max(1, round(weight * PARTS)) if weight > 0 else 0
+                        held.pop(backend, None)
+                        if parts:
+                            held[backend] = parts
+                        path = ("tables", self.name(table), "lines", backend)
+                        write(self.users.get(table, ()), path, self._line(backend, parts) if parts else None)
+                case say.Admission(table, groups, level, tries):
+                    for group in groups:
+                        leaf = self.levels[table, group] = self._level(level, tries)
+                        path = ("tables", self.name(table), "levels", self.groups[group])
+                        write(self.users.get(table, ()), path, leaf)
+                case say.Assignment(proxy, table, groups) if proxy in self.views:
+                    if proxy not in whole:
+                        whole[proxy] = None
+                        changes.setdefault(proxy, {})
+                        for users in self.users.values():
+                            users.discard(proxy)
+                    self.users.setdefault(table, set()).add(proxy)
+                    for group in groups or range(len(self.groups)):
+                        changes[proxy]["bindings", self.groups[group]] = self.name(table)
+                    kept = set(self.tables.get(table, {})) & set(self.withdrawn)
+                    own = sum(1 for held_table, _ in self.levels if held_table == table)
+                    cost = 1 + len(self.tables.get(table, {})) + own + len(kept)
+                    lines[proxy] = lines.get(proxy, self.head) + cost
+        known: dict[tuple[object, ...], View] = {}
+        return [
+            self._message(proxy, turn, changes[proxy], proxy in whole, lines[proxy], proxy in urgent, known)
+            for proxy in changes
+        ]
+
+    def bound(self, proxy: int) -> list[int]:
+        return [table for table, users in self.users.items() if proxy in users]
+
+    def moved(self, backend: str, place: Place) -> None:
+        """A backend's place; lines that name another address are put right when they are next sent."""
+        self.places[backend] = place
+
+    def _message(
+        self,
+        proxy: int,
+        turn: int,
+        changes: dict[Path, Leaf | None],
+        whole: bool,
+        lines: float,
+        urgent: bool,
+        known: dict[tuple[object, ...], View],
+    ) -> Message:
+        base = self.views[proxy]
+        if whole:
+            result = self._whole(proxy, {p: v for p, v in changes.items() if p[0] == "bindings"})
+        else:
+            # Proxies that share tables mostly share the change too; it is then worked out once for all.
+            key = (id(base), *((path, id(leaf)) for path, leaf in changes.items()))
+            result = known.get(key) or known.setdefault(key, base.apply(changes))
+        self.views[proxy] = result
+        return Message(proxy, turn, whole, base.tag, result, changes, lines + 1, urgent)
+
+    def _whole(self, proxy: int, bindings: dict[Path, Leaf | None]) -> View:
+        key = tuple(sorted(bindings.items()))
+        if (known := self.wholes.get(key)) is not None:
+            return known
+        leaves: dict[Path, Leaf] = dict(bindings)
+        for table in self.bound(proxy):
+            name = self.name(table)
+            for backend, parts in self.tables.get(table, {}).items():
+                leaves["tables", name, "lines", backend] = self._line(backend, parts)
+                if backend in self.withdrawn:
+                    leaves["withdrawn", backend] = True
+            for (held, group), level in self.levels.items():
+                if held == table:
+                    leaves["tables", name, "levels", self.groups[group]] = level
+        return self.wholes.setdefault(key, View.of(leaves))
+
+    def _line(self, backend: str, parts: int) -> Leaf:
+        place = self.places[backend]
+        return {"address": place.address, "weight": parts, "zone": place.zone}
+
+    def _level(self, level: float, tries: int) -> Leaf:
+        if self.throttle is say.Throttle.RATE:
+            return {"rate": round(level, 3), "tries": tries}
+        return {"share": round(min(1.0, level), 6), "tries": tries}
--- /dev/null
+++ b/onyxhead/trial/__init__.py
@@ -0,0 +1,1 @@
+"""Days played live on loopback, and their judgement from recorded traffic alone."""
