--- a/onyxhead/agent/counters.py
+++ b/onyxhead/agent/counters.py
@@ -29,7 +29,7 @@
 def difference(before: Counts, after: Counts) -> Counts:
     """What was counted since; all of `after` where a count fell, since then the proxy began anew."""
     if any(after.get(key, 0.0) < value for key, value in before.items()):
-        return {key: value for key, value in after.items() if value}
+        before = {}
     made = {key: value - before.get(key, 0.0) for key, value in after.items()}
     return {key: value for key, value in made.items() if value}
 
--- a/onyxhead/http/server.py
+++ b/onyxhead/http/server.py
@@ -50,6 +50,8 @@
                 response = await self.handler(request, writer)
                 if response is None:
                     return
+                if request.method == "HEAD":
+                    response = response._replace(body=b"")
                 await _write(state, writer, response)
                 if state.our_state is not h11.DONE or state.their_state is not h11.DONE:
                     return
--- a/onyxhead/settings/load.py
+++ b/onyxhead/settings/load.py
@@ -10,8 +10,8 @@
 import onyxhead.interface as say
 from onyxhead.records.files import check, gather
 from onyxhead.records.meaning import Found
-from onyxhead.records.syntax import Fault, Faulty, File, Literal, Place
-from onyxhead.tables.view import Leaf, address_parts
+from onyxhead.records.syntax import Fault, Faulty, File, Literal
+from onyxhead.tables.view import Leaf, Malformed, address_parts
 
 Address = tuple[str, int]
 KINDS = {"controller": "#Controller", "agent": "#Agent"}
@@ -111,6 +111,23 @@
     return "agent" if "files" in members or "standing" in members else "controller"
 
 
+class _Addresses:
+    """Addresses of a record, and the faults of those that are none."""
+
+    def __init__(self, found: Found, faults: list[Fault]) -> None:
+        self.found, self.faults = found, faults
+
+    def read(self, text: str, *place: str, free: bool = False) -> Address:
+        """Port 0 means any free one, where that makes sense."""
+        if free and text.endswith(":0"):
+            return address_parts(text[:-1] + "1")[0], 0
+        try:
+            return address_parts(text)
+        except Malformed as error:
+            self.faults.append(Fault(self.found.place(*place), str(error)))
+            return "", 0
+
+
 def _seconds(tenths: int) -> float:
     return tenths / 10_000
 
@@ -183,13 +200,15 @@
         probes_allowed=found["probes"]["allowed"],
         must_subscribe=False,
     )  # fmt: skip
-    given = found["discovery"]
-    here = path.parent
+    given, addresses, here = found["discovery"], _Addresses(found, faults), path.parent
     file = here / given["file"] if "file" in given else None
-    server = address_parts(given["server"]) if "server" in given else None
+    server = addresses.read(given["server"], "discovery", "server") if "server" in given else None
+    listen = addresses.read(found["listen"], "listen", free=True)
+    if faults:
+        raise Faulty(faults)
     probes = found["probes"]
     return Controller(
-        found["name"], address_parts(found["listen"]), here / found["state"], found["seed"],
+        found["name"], listen, here / found["state"], found["seed"],
         tuple(group.name for group in groups), zones, start, channel["patience"],
         Discovery(file, server, _seconds(given["every"])), _seconds(found["list_good_for"]),
         Probes(probes["path"], _seconds(probes["timeout"]), probes["at_once"]), Log(**found["log"]),
@@ -206,25 +225,21 @@
         routes.append(Route(name, group["prefix"], _seconds(group["latency_budget"]), group["tries"]))
     if not routes:
         faults.append(Fault(found.place("groups"), "no traffic group"))
+    addresses = _Addresses(found, faults)
+    listen = addresses.read(found["listen"], "listen", free=True)
+    advertise = addresses.read(found["advertise"], "advertise") if "advertise" in found else None
+    stats = addresses.read(found["stats"], "stats") if "stats" in found else None
+    controllers = tuple(addresses.read(each, "controllers") for each in found["controllers"])
+    standing = {}
+    for name, line in found["standing"].items():
+        addresses.read(line["address"], "standing", name, "address")
+        standing[name] = {"address": line["address"], "weight": 1_000_000, "zone": line["zone"]}
     if faults:
         raise Faulty(faults)
-    standing = {
-        name: {"address": line["address"], "weight": 1_000_000, "zone": line["zone"]}
-        for name, line in found["standing"].items()
-    }
     here, reload = path.parent, found.get("reload")
     return Agent(
-        found["name"], found["zone"], address_parts(found["listen"]), _maybe(found.get("advertise")),
-        here / found["files"], here / found["state"], tuple(map(address_parts, found["controllers"])),
-        found["usual"], tuple(routes), found["stretch"], standing, _maybe(found.get("stats")),
-        _seconds(found["silence"]), _seconds(found["redial"]), found["most_body"],
+        found["name"], found["zone"], listen, advertise, here / found["files"], here / found["state"], controllers,
+        found["usual"], tuple(routes), found["stretch"], standing, stats, _seconds(found["silence"]),
+        _seconds(found["redial"]), found["most_body"],
         Reload(here / reload["pid_file"], reload["signal"]) if reload else None, Log(**found["log"]),
     )  # fmt: skip
-
-
-def _maybe(address: str | None) -> Address | None:
-    return address_parts(address) if address else None
-
-
-def first_place(path: Path) -> Place:
-    return Place(str(path), 1, 1)
--- /dev/null
+++ b/tests/fleetrig.py
@@ -0,0 +1,125 @@
+"""A house with agents' keepers round it, no sockets: what leaves the channel reaches a keeper, or is lost."""
+
+from __future__ import annotations
+
+import json
+import random
+
+import onyxhead.interface as say
+from onyxhead.agent.keeper import Keeper, Taken
+from onyxhead.controller.channel import Sent
+from onyxhead.controller.house import House, Joining, Work
+from onyxhead.controller.roster import Entry, Follower, Roster
+from onyxhead.fronts.files.push import Encoder, Stream
+from onyxhead.http.messages import JSON, MERGE_PATCH, ORDER, STREAM, Request, order_field
+from onyxhead.tables.orders import Message
+from onyxhead.tables.view import View
+
+SECOND = 10_000
+GROUPS, ZONES = ("read", "write"), ("north", "south")
+
+
+def deployment(**channel: float) -> say.Deployment:
+    groups = tuple(say.TrafficGroup(n, 1.0, 5000, 15000, say.Repeats.RETRIABLE, "all", 0, None, False) for n in GROUPS)
+    way = say.Channel(2000.0, 6.0, 3000.0, 100, 1000, 0, 10 * SECOND)._replace(**channel)
+    guards = say.Guards(3 * SECOND, 2 * SECOND, False, 0.2, 15 * SECOND, 3.0, 15_000, False, 0)
+    return say.Deployment(0, 2, 1, 8, groups, way, guards, say.Throttle.SHARE, 1, 1.2, 0, SECOND, False, False)
+
+
+def entry(name: str, state: str = "ready", started: float = 0.0, **other: object) -> Entry:
+    port = 9000 + int(name[1:])
+    return Entry(name, f"127.0.0.1:{port}", ZONES[port % 2], "std", state, 1.0, started)._replace(**other)
+
+
+def request_of(message: Message, stream: str, at: int) -> Request:
+    """What goes over the wire for a message, and nothing else of it."""
+    body, digest = Encoder().body(message)
+    headers = {
+        STREAM: stream, ORDER: order_field(message.turn, message.lines, at), "content-digest": digest,
+        "if-match": message.base, "content-type": JSON if message.whole else MERGE_PATCH,
+    }  # fmt: skip
+    return Request("PUT" if message.whole else "PATCH", "/v1/view", headers, body)
+
+
+class Rig:
+    """One controller and its agents; `lose` makes messages vanish with their streams."""
+
+    def __init__(self, backends: int = 6, proxies: int = 0, seed: int = 1, **channel: float) -> None:
+        self.now, self.chance = 1000 * SECOND, random.Random(seed)
+        self.start = deployment(**channel)
+        self.house = House(self.start, GROUPS, ZONES, seed, 1, 2 * SECOND, self.now)
+        self.follower = Follower(ZONES, lambda s: min(self.now, int(s * SECOND)), lambda: self.now)
+        self.entries = {f"b{n}": entry(f"b{n}") for n in range(backends)}
+        self.keepers: dict[str, Keeper] = {}
+        self.slow: set[str] = set()
+        self.version, self.works = 0, list[Work]()
+        self.most = 0.0
+        self.publish()
+        for number in range(proxies):
+            self.join(f"p{number}")
+
+    def publish(self) -> None:
+        self.version += 1
+        news = self.follower.follow(Roster(self.version, tuple(self.entries.values())))
+        if news is not None:
+            self.house.list_heard(self.now, news)
+
+    def set(self, name: str, state: str) -> None:
+        if state == "gone":
+            self.entries.pop(name, None)
+        else:
+            self.entries[name] = entry(name, state, self.now / SECOND if state == "ready" else 0.0)
+        self.publish()
+
+    def join(self, name: str) -> None:
+        keeper = self.keepers.setdefault(name, Keeper(View.of({("standing", "b0"): line("b0")})))
+        keeper.listen_to(name)
+        bound = any(path[0] == "bindings" for path in keeper.view.leaves)
+        held = View.read(json.loads(json.dumps(keeper.view.document())))
+        self.house.joins(self.now, Joining(name, ZONES[len(name) % 2], 10.0, not bound, held))
+
+    def lose(self, name: str) -> None:
+        self.house.left(self.now, self.house.number(name))
+
+    def step(self, tenths: int = 100) -> Work:
+        self.now += tenths
+        work = self.house.act(self.now)
+        self.works.append(work)
+        self.most = max(self.most, self.house.channel.waiting)
+        for sent in work.leaving:
+            if self.name(sent) not in self.slow:
+                self.deliver(sent)
+        return work
+
+    def name(self, sent: Sent[Message]) -> str:
+        return next(name for name, number in self.house.numbers.items() if number == sent.proxy)
+
+    def deliver(self, sent: Sent[Message]) -> None:
+        name = self.name(sent)
+        keeper = self.keepers[name]
+        self.house.channel.taken(sent.proxy)
+        taken = keeper.take(request_of(sent.order, name, sent.ordered))
+        if isinstance(taken, Taken):
+            answer = keeper.applied(taken)
+            self.house.answered(self.now, sent.proxy, sent.order, answer.headers["etag"], sent.ordered)
+        else:
+            self.house.fault(self.now, sent.proxy, f"{taken.status}")
+
+    def run(self, seconds: float) -> None:
+        for _ in range(int(seconds * 100)):
+            self.step()
+
+    def lines(self, name: str, group: str = "read") -> dict[str, int]:
+        """What the proxy may pick, with weights."""
+        view = self.keepers[name].view
+        table = view.leaves.get(("bindings", group))
+        held = view.kind("standing") if table is None else view.kind("tables", table, "lines")
+        return {b: at["weight"] for b, at in held.items() if ("withdrawn", b) not in view.leaves}
+
+
+def line(name: str, weight: int = 1_000_000) -> dict[str, object]:
+    return {"address": entry(name).address, "weight": weight, "zone": entry(name).zone}
+
+
+def stream_of(port: int, patience: float = 0.5) -> Stream:
+    return Stream(("127.0.0.1", port), "t", Encoder(), patience)
--- /dev/null
+++ b/tests/test_house.py
@@ -0,0 +1,304 @@
+"""The host's cores: channel, roster, clock, sums, door, and all of them together round the module."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+
+import onyxhead.interface as say
+from onyxhead.agent.keeper import Keeper
+from onyxhead.controller import sums
+from onyxhead.controller.channel import Channel, Overfull
+from onyxhead.controller.clock import Clock
+from onyxhead.controller.door import Door
+from onyxhead.controller.probe import busy_share, load_report
+from onyxhead.controller.roster import Follower, Roster, Unlisted, read
+from onyxhead.tables.orders import Place
+from onyxhead.tables.view import View
+from tests.fleetrig import SECOND, ZONES, Rig, entry, line
+
+LIMITS = say.Channel(100.0, 6.0, 50.0, 0, 0, 3, SECOND)
+
+
+def test_messages_leave_in_order_at_the_pace() -> None:
+    channel: Channel[str] = Channel(LIMITS, SECOND)
+    for proxy in (1, 2):
+        channel.join(proxy)
+        channel.offer(0, proxy, f"to {proxy}", 10)
+    assert channel.next_at() == 1000 and channel.leave_now(999) == []
+    assert [sent.order for sent in channel.leave_now(1000)] == ["to 1"]
+    assert [sent.order for sent in channel.leave_now(5000)] == ["to 2"]
+
+
+def test_what_would_wait_beyond_the_limit_is_refused_and_not_queued() -> None:
+    channel: Channel[str] = Channel(LIMITS, SECOND)
+    channel.join(1)
+    channel.offer(0, 1, "a", 40)
+    with pytest.raises(Overfull):
+        channel.offer(0, 1, "b", 11)
+    assert channel.waiting == 40
+
+
+def test_no_more_messages_are_written_to_one_proxy_than_the_cap() -> None:
+    channel: Channel[str] = Channel(LIMITS, SECOND)
+    channel.join(1)
+    for _ in range(3):
+        channel.offer(0, 1, "a", 1)
+    with pytest.raises(Overfull):
+        channel.offer(SECOND - 1, 1, "a", 1)
+    channel.offer(SECOND + 1, 1, "a", 1)
+
+
+def test_a_stream_that_takes_nothing_holds_only_its_own_back_counts_on_and_is_given_up() -> None:
+    channel: Channel[str] = Channel(LIMITS, SECOND)
+    for proxy in (1, 2):
+        channel.join(proxy)
+    channel.offer(0, 1, "a", 10)
+    channel.offer(0, 2, "b", 10)
+    assert len(channel.leave_now(2000)) == 2
+    channel.taken(2)
+    assert channel.waiting == 10 and channel.stuck(SECOND + 2001) == [1]
+    channel.leave(1)
+    assert channel.waiting == 0 and channel.stuck(9 * SECOND) == []
+
+
+def body(*backends: dict[str, Any], version: int = 1) -> bytes:
+    return json.dumps({"version": version, "backends": backends}).encode()
+
+
+B1 = {"id": "b1", "address": "127.0.0.1:80", "zone": "north"}
+
+
+@pytest.mark.parametrize(
+    "given",
+    [
+        body(B1)[:-9], b"", b"[]", body(B1, B1 | {"id": "b2"}), body(B1, B1 | {"address": "h:81"}),
+        body(B1 | {"state": "odd"}), body(B1 | {"weight": -1}), body(B1 | {"address": "x"}), body(B1 | {"started": "x"}),
+        b'{"version": "1", "backends": []}', body(B1 | {"weight": 1e9}),
+    ],
+)  # fmt: skip
+def test_a_list_that_is_half_written_or_contradicts_itself_is_not_followed(given: bytes) -> None:
+    with pytest.raises(Unlisted):
+        read(given)
+
+
+def follower(now: int = 50 * SECOND) -> Follower:
+    return Follower(ZONES, lambda seconds: min(now, int(seconds * SECOND)), lambda: now)
+
+
+def test_a_list_that_goes_back_or_shrinks_to_nothing_is_not_followed() -> None:
+    own = follower()
+    own.follow(Roster(5, (entry("b1"),)))
+    with pytest.raises(Unlisted, match="older"):
+        own.follow(Roster(4, (entry("b2"),)))
+    with pytest.raises(Unlisted, match="none"):
+        own.follow(Roster(6, ()))
+    assert own.last == Roster(5, (entry("b1"),))
+
+
+def test_changes_name_what_left_and_a_newcomer_with_no_start_counts_as_just_started() -> None:
+    own = follower()
+    first = own.follow(Roster(1, (entry("b1"), entry("b2"))))
+    assert first is not None and first.kind is say.News.WHOLE and {e.started for e in first.listed} == {0}
+    news = own.follow(Roster(2, (entry("b2"), entry("b3"), entry("b4", zone="moon"))))
+    assert news is not None and [(e.backend, e.ready, e.started) for e in news.listed] == [
+        ("b3", True, 50 * SECOND), ("b1", False, 0),
+    ]  # fmt: skip
+    assert "moon" in news.notes[0] and own.follow(Roster(2, own.last.entries if own.last else ())) is None
+
+
+def test_the_clock_never_goes_back_and_a_start_ahead_of_it_counts_as_now() -> None:
+    wall, steady = [1000.0], [5.0]
+    clock = Clock(lambda: wall[0], lambda: steady[0])
+    wall[0], steady[0] = 10.0, 6.0
+    assert clock.now() == 1001 * SECOND
+    assert clock.of_wall(2000.0) == clock.now() and clock.of_wall(500.0) == 500 * SECOND
+
+
+def load_report_of(backend: str = "127.0.0.1:9001", **endpoint: Any) -> dict[str, Any]:
+    host, port = backend.split(":")
+    own = {"address": {"socket_address": {"address": host, "port_value": int(port)}}, "total_successful_requests": "8"}
+    cluster = {"cluster_name": "read", "load_report_interval": "1.5s", "total_dropped_requests": "2"}
+    return {"cluster_stats": [cluster | {"upstream_locality_stats": [{"upstream_endpoint_stats": [own | endpoint]}]}]}
+
+
+def test_sums_are_read_from_a_load_report() -> None:
+    latency = {"metric_name": "latency_ms", "num_requests_finished_with_metric": "8", "total_metric_value": 400.0}
+    told = sums.read(load_report_of(total_error_requests="2", load_metric_stats=[latency]))
+    assert told.met == {"127.0.0.1:9001": sums.Met(10, 2, 4000.0, 15_000, None)}
+    assert told.flows == {"read": (2, 15_000)}
+
+
+@pytest.mark.parametrize("bad", [{"total_error_requests": "-1"}, {"total_error_requests": 1e99}, {"address": 5}])
+def test_sums_that_are_no_counts_are_refused(bad: dict[str, Any]) -> None:
+    with pytest.raises(sums.Odd):
+        sums.read(load_report_of(**bad))
+
+
+@pytest.mark.parametrize("value", [float("nan"), float("inf"), -1.0, "1", 7.0])
+def test_a_load_that_can_not_be_is_left_out(value: object) -> None:
+    stats = [{"metric_name": "cpu_utilization", "total_metric_value": value}]
+    assert sums.read(load_report_of(load_metric_stats=stats)).met["127.0.0.1:9001"].busy is None
+
+
+def test_sums_count_once_whatever_their_order_and_those_of_strangers_never() -> None:
+    rig = Rig(proxies=1)
+    told = sums.read(load_report_of("127.0.0.1:9001"))
+    assert rig.house.summed(rig.now, "p0", "x", 5, told)
+    assert not rig.house.summed(rig.now, "p0", "x", 5, told)
+    assert rig.house.summed(rig.now, "p0", "x", 3, told)
+    assert not rig.house.summed(rig.now, "p9", "x", 1, told)
+    assert rig.house.summed(rig.now, "p0", "restarted", 5, told)
+    rig.house.summed(rig.now, "p0", "x", 6, sums.read(load_report_of("127.0.0.1:9999")))
+    met, _ = rig.house.gathered.tell()
+    assert [(backend, own.tries) for _, backend, own, _ in met] == [("b1", 24)]
+    assert rig.house.gathered.unknown == 8
+
+
+def test_a_report_far_older_than_the_last_is_not_counted() -> None:
+    gate = sums.Gate()
+    assert gate.fresh("p", "x", 1000) and not gate.fresh("p", "x", 900)
+
+
+def test_load_headers_in_both_forms() -> None:
+    assert load_report({"endpoint-load-metrics": "TEXT cpu_utilization=0.3,named_metrics.queue=4"}) == {
+        "cpu_utilization": 0.3, "queue": 4.0,
+    }  # fmt: skip
+    form = 'JSON {"cpu_utilization": 0.5, "named_metrics": {"queue": 2}, "eps": NaN}'
+    assert load_report({"endpoint-load-metrics": form}) == {"cpu_utilization": 0.5, "queue": 2.0}
+    assert load_report({"endpoint-load-metrics": "JSON {"}) == {} == load_report({})
+    assert busy_share({"cpu_utilization": 9.0}) is None and busy_share({"cpu_utilization": 1.2}) == 1.0
+
+
+def test_one_broken_stream_costs_no_wait_and_repeated_faults_ever_longer_ones() -> None:
+    door = Door()
+    door.fault(0, "p")
+    assert door.wait(1, "p") == 0
+    waits = []
+    for now in range(SECOND, 7 * SECOND, SECOND):
+        door.fault(now, "p")
+        waits.append(door.wait(now, "p"))
+    assert waits == sorted(waits) and waits[-1] > 5 * SECOND and door.wait(10**9, "p") == 0
+
+
+# All together
+
+
+def test_lines_decided_while_no_proxy_is_joined_reach_the_first_that_joins() -> None:
+    rig = Rig()
+    rig.run(1)
+    rig.join("p0")
+    rig.run(1)
+    assert set(rig.lines("p0")) == {f"b{n}" for n in range(6)}
+
+
+def test_a_drain_told_while_forty_wait_for_full_tables_reaches_all_within_the_grace() -> None:
+    rig = Rig(backends=30, lines_per_s=1500.0, most_waiting=4000.0)
+    for number in range(40):
+        rig.keepers[f"p{number}"] = Keeper(View.of({("standing", "b3"): line("b3")}))
+        rig.join(f"p{number}")
+    rig.run(0.1)
+    rig.set("b3", "draining")
+    rig.run(2.0)
+    assert all("b3" not in rig.lines(name) for name in rig.keepers)
+    assert rig.most <= 4000
+
+
+def test_a_withdrawal_lost_with_its_stream_reaches_the_proxy_at_its_next_join() -> None:
+    rig = Rig(proxies=3)
+    rig.run(2)
+    rig.slow.add("p0")
+    rig.set("b2", "draining")
+    rig.step()
+    rig.lose("p0")
+    rig.slow.clear()
+    rig.join("p0")
+    rig.run(2)
+    assert "b2" not in rig.lines("p0") and "b2" not in rig.lines("p1")
+
+
+def test_a_slow_proxy_delays_no_one_and_is_given_up() -> None:
+    rig = Rig(proxies=4)
+    rig.run(2)
+    rig.slow.add("p1")
+    rig.set("b4", "draining")
+    rig.run(0.5)
+    assert all("b4" not in rig.lines(name) for name in ("p0", "p2", "p3"))
+    rig.run(3)
+    assert rig.house.number("p1") not in rig.house.joined
+    assert any(cut.name == "p1" for work in rig.works for cut in work.cuts)
+
+
+def test_an_agent_that_holds_another_view_is_given_up_and_gets_the_whole_at_its_next_join() -> None:
+    rig = Rig(proxies=2)
+    rig.run(2)
+    rig.keepers["p0"].view = rig.keepers["p0"].view.set(("withdrawn", "b1"), True)
+    rig.set("b5", "draining")
+    rig.run(1)
+    assert rig.house.number("p0") not in rig.house.joined
+    rig.join("p0")
+    rig.run(2)
+    assert rig.lines("p0") == rig.lines("p1") == {f"b{n}": 1_000_000 for n in range(5)}
+
+
+def test_a_proxy_that_joins_twice_has_one_stream() -> None:
+    rig = Rig(proxies=1)
+    rig.step()
+    rig.join("p0")
+    rig.run(1)
+    assert len(rig.house.joined) == 1 and len(rig.lines("p0")) == 6
+
+
+def test_orders_beyond_the_limit_are_refused_and_the_proxy_joins_anew() -> None:
+    rig = Rig(backends=6, proxies=1, most_waiting=40.0, lines_per_s=10_000.0)
+    rig.run(1)
+    number = rig.house.number("p0")
+    message = rig.house.books.messages(9, [say.Shutout(f"b{n % 6}", n % 2 == 0) for n in range(60)])[0]
+    rig.house._send(rig.now, message)
+    assert number not in rig.house.joined and rig.house.counts["refused by the limit"] == 1
+    rig.join("p0")
+    rig.run(2)
+    assert rig.house.books.views[number].tag == rig.keepers["p0"].view.tag
+
+
+def test_a_backend_that_moves_to_another_address_is_withdrawn_before_it_is_listed_anew() -> None:
+    rig = Rig(proxies=1)
+    rig.run(2)
+    rig.entries["b1"] = entry("b1", address="127.0.0.1:7777", started=rig.now / SECOND)
+    rig.publish()
+    assert rig.house.books.withdrawn and rig.house.books.places["b1"] == Place("127.0.0.1:7777", ZONES[1])
+    rig.run(3)
+    held = rig.keepers["p0"].view
+    lines = held.kind("tables", "1.0", "lines")
+    assert lines["b1"]["address"] == "127.0.0.1:7777" and lines["b1"]["weight"] < 1_000_000
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_generated_days_keep_books_and_agents_alike(seed: int) -> None:
+    """Streams break, agents stall, backends come and go; whenever all is quiet, books and agents agree."""
+    rig = Rig(backends=8, proxies=6, seed=seed)
+    for _ in range(40):
+        luck = rig.chance.random()
+        name = f"p{rig.chance.randrange(6)}"
+        if luck < 0.25:
+            rig.lose(name)
+        elif luck < 0.5:
+            rig.join(name)
+        elif luck < 0.6:
+            rig.slow ^= {name}
+        elif luck < 0.9:
+            up = [b for b, e in rig.entries.items() if e.state == "ready"]
+            backend = f"b{rig.chance.randrange(8)}"
+            rig.set(backend, "ready" if len(up) < 4 else rig.chance.choice(["ready", "draining", "gone"]))
+        rig.run(rig.chance.uniform(0.01, 0.6))
+    rig.slow.clear()
+    for name in rig.keepers:
+        rig.join(name)
+    rig.run(25)
+    up = {b for b, e in rig.entries.items() if e.state == "ready"}
+    for name, keeper in rig.keepers.items():
+        assert keeper.view.tag == rig.house.books.views[rig.house.number(name)].tag
+        assert set(rig.lines(name)) == up
+    assert rig.most <= rig.start.channel.most_waiting
--- /dev/null
+++ b/tests/test_sockets.py
@@ -0,0 +1,313 @@
+"""The daemons on loopback sockets, against peers that misbehave in every way that an agent or a controller can."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from onyxhead.agent.daemon import Daemon as Agent
+from onyxhead.controller.daemon import Daemon
+from onyxhead.fronts.files.push import Refused
+from onyxhead.http.client import ask_once
+from onyxhead.http.messages import Request, answer
+from onyxhead.settings.load import Controller, read
+from onyxhead.settings.load import Agent as AgentSettings
+from tests.fleetrig import stream_of
+
+CONTROLLER = """
+name: "c1", zone: "north", zones: ["north"], listen: "127.0.0.1:0", state: "state"
+groups: {read: {prefix: "/r", latency_budget: 500ms, expiry: 1s, repeats: "retriable"}}
+channel: {pace: 5000/s, patience: 400ms, transit: 1ms, slowest_transit: 5ms}
+discovery: {file: "list.json", every: 20ms}
+probes: {allowed: false}
+log: {level: "error"}
+"""
+AGENT = """
+kind: "agent", name: "%s", zone: "north", listen: "127.0.0.1:0", files: "%s", state: "%s-state"
+controllers: ["127.0.0.1:%d"], silence: 1500ms, redial: 20ms, log: {level: "error"}
+groups: {read: {prefix: "/r", latency_budget: 500ms}}
+standing: {b1: {address: "127.0.0.1:9001", zone: "north"}}
+"""
+BACKENDS = [
+    {"id": f"b{n}", "address": f"127.0.0.1:{9000 + n}", "zone": "north", "state": "ready"} for n in range(1, 4)
+]
+
+
+def list_of(folder: Path, version: int, backends: list[dict[str, Any]]) -> None:
+    beside = folder / "list.tmp"
+    beside.write_text(json.dumps({"version": version, "backends": backends}))
+    beside.rename(folder / "list.json")
+
+
+async def until(what: Callable[[], object], seconds: float = 8.0) -> None:
+    async with asyncio.timeout(seconds):
+        while not what():
+            await asyncio.sleep(0.01)
+
+
+class Running:
+    """A controller, and agents as asked for, in one process; all of it ends with the test."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder, self.tasks = folder, list[asyncio.Task[None]]()
+        list_of(folder, 1, BACKENDS)
+
+    async def controller(self) -> Daemon:
+        (self.folder / "c.rec").write_text(CONTROLLER)
+        settings = read(self.folder / "c.rec")
+        assert isinstance(settings, Controller)
+        daemon = Daemon(settings)
+        self.tasks.append(asyncio.create_task(daemon.run()))
+        await until(lambda: daemon.server.listener and daemon.house.listed)
+        return daemon
+
+    async def agent(self, name: str, port: int) -> Agent:
+        (self.folder / f"{name}.rec").write_text(AGENT % (name, name, name, port))
+        settings = read(self.folder / f"{name}.rec")
+        assert isinstance(settings, AgentSettings)
+        daemon = Agent(settings)
+        self.tasks.append(asyncio.create_task(daemon.run()))
+        return daemon
+
+    async def end(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+
+def port_of(daemon: Daemon) -> int:
+    assert daemon.server.listener is not None
+    return int(daemon.server.listener.sockets[0].getsockname()[1])
+
+
+def play(folder: Path, work: Callable[[Running], Awaitable[None]]) -> None:
+    async def main() -> None:
+        running = Running(folder)
+        try:
+            await work(running)
+        finally:
+            await running.end()
+
+    asyncio.run(main())
+
+
+def shown(folder: Path, name: str) -> set[int]:
+    """Ports of the endpoints that the proxy may pick, from its swapped file."""
+    try:
+        document = json.loads((folder / name / "eds.json").read_bytes())
+    except FileNotFoundError:
+        return set()
+    ends = [end for part in document["resources"][0]["endpoints"] for end in part["lb_endpoints"]]
+    good = [end for end in ends if end["health_status"] == "HEALTHY"]
+    return {end["endpoint"]["address"]["socket_address"]["port_value"] for end in good}
+
+
+def test_a_list_change_reaches_the_swapped_file(tmp_path: Path) -> None:
+    async def work(running: Running) -> None:
+        await running.agent("p1", port_of(await running.controller()))
+        await until(lambda: shown(tmp_path, "p1") == {9001, 9002, 9003})
+        list_of(tmp_path, 2, [BACKENDS[0], BACKENDS[1] | {"state": "draining"}, BACKENDS[2]])
+        await until(lambda: shown(tmp_path, "p1") == {9001, 9003})
+
+    play(tmp_path, work)
+
+
+def test_a_list_half_written_is_read_again_when_it_is_whole(tmp_path: Path) -> None:
+    async def work(running: Running) -> None:
+        await running.agent("p1", port_of(await running.controller()))
+        await until(lambda: len(shown(tmp_path, "p1")) == 3)
+        whole = json.dumps({"version": 2, "backends": BACKENDS[:2]})
+        (tmp_path / "list.json").write_text(whole[:40])
+        await asyncio.sleep(0.15)
+        assert len(shown(tmp_path, "p1")) == 3
+        (tmp_path / "list.json").write_text(whole)
+        await until(lambda: shown(tmp_path, "p1") == {9001, 9002})
+
+    play(tmp_path, work)
+
+
+def test_an_agent_keeps_its_files_when_the_controller_dies_and_joins_the_next_life(tmp_path: Path) -> None:
+    async def work(running: Running) -> None:
+        first = await running.controller()
+        port = port_of(first)
+        agent = await running.agent("p1", port)
+        await until(lambda: len(shown(tmp_path, "p1")) == 3)
+        first.over.set()
+        await until(lambda: agent.lost.is_set())
+        assert len(shown(tmp_path, "p1")) == 3
+        list_of(tmp_path, 2, BACKENDS[1:])
+        second = await running.controller()
+        assert second.house.epoch == 2
+        agent.settings = agent.settings._replace(controllers=(("127.0.0.1", port_of(second)),))
+        await until(lambda: shown(tmp_path, "p1") == {9002, 9003})
+        await until(lambda: second.house.books.views[0].tag == agent.keeper.view.tag)
+
+    play(tmp_path, work)
+
+
+def test_half_a_push_changes_nothing_and_the_next_controller_starts_from_what_is_held(tmp_path: Path) -> None:
+    async def work(running: Running) -> None:
+        controller = await running.controller()
+        agent = await running.agent("p1", port_of(controller))
+        await until(lambda: len(shown(tmp_path, "p1")) == 3)
+        held, port = agent.keeper.view, agent.push[1]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        stream = agent.keeper.stream
+        head = f"PUT /v1/view HTTP/1.1\r\nhost: x\r\nonyxhead-stream: {stream}\r\ncontent-length: 500\r\n\r\n"
+        writer.write(head.encode() + b'{"bindings":')
+        await writer.drain()
+        writer.close()
+        await asyncio.sleep(0.1)
+        assert agent.keeper.view is held and len(shown(tmp_path, "p1")) == 3
+        assert (await reader.read()) == b""
+
+    play(tmp_path, work)
+
+
+def test_an_older_stream_still_open_is_refused_once_the_new_one_has_joined(tmp_path: Path) -> None:
+    async def work(running: Running) -> None:
+        controller = await running.controller()
+        agent = await running.agent("p1", port_of(controller))
+        await until(lambda: len(shown(tmp_path, "p1")) == 3)
+        old = agent.keeper.stream
+        agent.lost.set()
+        await until(lambda: agent.keeper.stream not in ("", old) and not agent.lost.is_set())
+        request = Request("HEAD", "/v1/view", {"onyxhead-stream": old})
+        assert (await ask_once(("127.0.0.1", agent.push[1]), request, 1.0)).status == 409
+        await until(lambda: len(controller.house.joined) == 1 and len(controller.lines) == 1)
+
+    play(tmp_path, work)
+
+
+def test_two_publications_racing_for_one_table_leave_one_of_them_whole(tmp_path: Path) -> None:
+    async def work(running: Running) -> None:
+        controller = await running.controller()
+        agent = await running.agent("p1", port_of(controller))
+        await until(lambda: len(shown(tmp_path, "p1")) == 3)
+        number = controller.house.number("p1")
+        from onyxhead.interface import TableChange
+
+        (one,) = controller.house.books.messages(90, [TableChange(0, (("b1", 0.5),))])
+        controller.house.books.views[number] = agent.keeper.view
+        (two,) = controller.house.books.messages(91, [TableChange(0, (("b2", 0.25),))])
+        from tests.fleetrig import request_of
+
+        asked = [request_of(each, agent.keeper.stream, 0) for each in (one, two)]
+        answers = await asyncio.gather(*(ask_once(("127.0.0.1", agent.push[1]), each, 2.0) for each in asked))
+        assert sorted(each.status for each in answers) == [204, 412]
+        won = (one, two)[[each.status for each in answers].index(204)]
+        assert agent.keeper.view == won.result
+
+    play(tmp_path, work)
+
+
+# Agents that misbehave, seen from the push stream
+
+Reply = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+async def _slowly(_reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    for byte in b"HTTP/1.1 200 OK\r\netag: x\r\ncontent-length: 0\r\n\r\n":
+        writer.write(bytes([byte]))
+        await writer.drain()
+        await asyncio.sleep(0.2)
+
+
+def _say(text: bytes) -> Reply:
+    async def reply(_reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(text)
+        await writer.drain()
+        await asyncio.sleep(1)
+
+    return reply
+
+
+async def _silent(_reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
+    await asyncio.sleep(5)
+
+
+async def _hang_up(_reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    writer.close()
+
+
+@pytest.mark.parametrize(
+    ("reply", "kind"),
+    [
+        (_slowly, Refused), (_silent, Refused), (_hang_up, OSError),
+        (_say(b"HTTP/1.1 412 No\r\netag: x\r\ncontent-length: 0\r\n\r\n"), Refused),
+        (_say(b"HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n"), Refused),
+        (_say(b"HTTP/1.1 200 OK\r\n" + b"x-a: " + b"y" * 200_000), Refused),
+        (_say(b"HTTP/1.1 204 OK\r\n" + b"x: y\r\n" * 20_000), Refused),
+        (_say(b"SSH-2.0-x\r\n\r\n"), Refused),
+    ],
+)  # fmt: skip
+def test_an_agent_that_does_not_answer_as_agreed_is_refused_in_time(reply: Reply, kind: type[Exception]) -> None:
+    async def main() -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            await reply(reader, writer)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        stream = stream_of(server.sockets[0].getsockname()[1])
+        with pytest.raises(kind):
+            async with asyncio.timeout(2.0):
+                await stream.open()
+        stream.close()
+        server.close()
+
+    asyncio.run(main())
+
+
+def test_a_body_beyond_the_limit_is_refused_and_not_kept(tmp_path: Path) -> None:
+    async def work(running: Running) -> None:
+        agent = await running.agent("p1", 1)
+        await until(lambda: agent.server.listener)
+        agent.server.most_body = 1000
+        response = await ask_once(agent.push, Request("PUT", "/v1/view", {}, b"x" * 5000), 2.0)
+        assert response.status == 413
+
+    play(tmp_path, work)
+
+
+def test_an_agent_that_lies_about_its_view_does_not_join(tmp_path: Path) -> None:
+    async def work(running: Running) -> None:
+        controller = await running.controller()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while await reader.readuntil(b"\r\n\r\n"):
+                writer.write(b'HTTP/1.1 200 OK\r\netag: "0"\r\ncontent-length: 0\r\n\r\n')
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        join = answer(200, {
+            "zone": "north", "usual": 1.0, "standing": True, "push": f"127.0.0.1:{port}",
+            "held": {"withdrawn": {"b1": True}},
+        })  # fmt: skip
+        request = Request("PUT", "/v1/proxies/liar", join.headers, join.body)
+        for _ in range(3):
+            response = await ask_once(("127.0.0.1", port_of(controller)), request, 1.0)
+            await asyncio.sleep(0.05)
+        assert response.status in (200, 503) and not controller.house.joined
+        assert controller.house.door.wait(controller.clock.now(), "liar") > 0
+        server.close()
+
+    play(tmp_path, work)
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"[]", b'{"zone": "moon"}', b'{"zone": "north", "usual": "x", "standing": 1, "held": {}}']
+)
+def test_a_join_that_is_none_is_answered_plainly(tmp_path: Path, body: bytes) -> None:
+    async def work(running: Running) -> None:
+        controller = await running.controller()
+        request = Request("PUT", "/v1/proxies/x", {}, body)
+        response = await ask_once(("127.0.0.1", port_of(controller)), request, 1.0)
+        assert response.status in (400, 422) and "detail" in response.json()
+
+    play(tmp_path, work)
