--- /dev/null
+++ b/benchmarks/__main__.py
@@ -0,0 +1,21 @@
+"""Runs one measurement and prints its figures as JSON."""
+
+from __future__ import annotations
+
+import importlib
+import json
+import sys
+
+NAMES = ("swaps", "batch", "fan")
+
+
+def main() -> int:
+    if len(sys.argv) < 2 or sys.argv[1] not in NAMES:
+        print(f"usage: python -m benchmarks {'|'.join(NAMES)}", file=sys.stderr)
+        return 2
+    print(json.dumps(importlib.import_module(f"benchmarks.{sys.argv[1]}").measure(sys.argv[2:]), indent=1))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/benchmarks/batch.py
@@ -0,0 +1,67 @@
+"""One step of a controller: what was heard, the module's decisions, messages. No sockets."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import Any
+
+import onyxhead.interface as say
+from benchmarks.figures import quantiles
+from onyxhead.controller.house import House, Joining
+from onyxhead.controller.roster import Entry, Follower, Roster
+from onyxhead.tables.view import View
+
+ZONES = ("x", "y", "z")
+
+
+def house(proxies: int, backends: int) -> tuple[House, Follower, Roster]:
+    groups = tuple(
+        say.TrafficGroup(n, 1.0, 5000, 15000, say.Repeats.RETRIABLE, "all", 0, None, False) for n in ("a", "b")
+    )
+    channel = say.Channel(100.0 * proxies * 3, 6, 400.0 * proxies, 100, 500, 0, 100_000)
+    guards = say.Guards(30_000, 20_000, False, 0.2, 150_000, 3, 15_000, False, 0)
+    start = say.Deployment(
+        0, 3, 1, proxies, groups, channel, guards, say.Throttle.SHARE, 1, 1.2, 0, 10_000, False, False
+    )
+    now = 10**9
+    made = House(start, ("a", "b"), ZONES, 1, 1, 20_000, now)
+    entries = [Entry(f"b{i}", f"127.0.0.1:{1000 + i}", ZONES[i % 3], "k", "ready", 1.0, 0.0) for i in range(backends)]
+    follower, roster = Follower(ZONES, lambda s: int(s * 1e4), lambda: now), Roster(1, tuple(entries))
+    news = follower.follow(roster)
+    assert news is not None
+    made.list_heard(now, news)
+    for proxy in range(proxies):
+        made.joins(now, Joining(f"p{proxy}", ZONES[proxy % 3], 10.0, True, View.EMPTY))
+    return made, follower, roster
+
+
+def one(proxies: int, backends: int, steps: int = 600) -> dict[str, float]:
+    made, follower, roster = house(proxies, backends)
+    chance, now, times = random.Random(1), 10**9, list[float]()
+    for step in range(steps):
+        now += 500
+        began = time.perf_counter()
+        if step % 20 == 0 and step > 100:
+            entries, place = list(roster.entries), chance.randrange(backends)
+            state = "draining" if entries[place].state == "ready" else "ready"
+            entries[place] = entries[place]._replace(state=state, started=now / 1e4)
+            roster = Roster(roster.version + 1, tuple(entries))
+            news = follower.follow(roster)
+            assert news is not None
+            made.list_heard(now, news)
+        if step % 20 == 10:
+            for name in made.listed:
+                made.brain.learn_tries(now, name, 0, 20, chance.randint(0, 2), 1000, 10_000, say.Load(0.5))
+            for proxy in range(proxies):
+                made.brain.learn_intake(now, proxy, 0, 10, 10_000)
+        work = made.act(now)
+        times.append(time.perf_counter() - began)
+        for sent in work.leaving:
+            made.channel.taken(sent.proxy)
+            made.answered(now, sent.proxy, sent.order, sent.order.result.tag, sent.ordered)
+    return quantiles(times[100:])
+
+
+def measure(_args: list[str]) -> dict[str, Any]:
+    return {f"{proxies} x {backends}": one(proxies, backends) for proxies, backends in ((143, 82), (1430, 820))}
--- /dev/null
+++ b/benchmarks/fan.py
@@ -0,0 +1,167 @@
+"""A turn's change and a withdrawal to many agents on sockets, while others join; against bare writes of the same bytes.
+
+Agents run in several processes, each with a view and files of its own in memory."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import multiprocessing
+import tempfile
+import time
+from multiprocessing.connection import Connection as Pipe
+from pathlib import Path
+from typing import Any
+
+import structlog
+
+from benchmarks.figures import quantiles
+from onyxhead.agent.daemon import Daemon as Agent
+from onyxhead.controller.daemon import Daemon
+from onyxhead.settings.load import Agent as AgentSettings
+from onyxhead.settings.load import Controller, read
+
+HOSTS = 6
+SETTINGS = """
+name: "c1", zone: "z", zones: ["z"], listen: "127.0.0.1:0", state: "state", proxies: %d
+groups: {read: {prefix: "/r", latency_budget: 500ms, expiry: 1s, repeats: "retriable"}}
+channel: {pace: %d/s, most_waiting: %d, transit: 1ms, slowest_transit: 20ms, patience: 5s}
+discovery: {file: "list.json", every: 10ms}, probes: {allowed: false}, log: {level: "error"}
+"""
+AGENT = """
+kind: "agent", name: "%s", zone: "z", listen: "127.0.0.1:0", files: "%s/files", state: "%s/state"
+controllers: ["127.0.0.1:%d"], log: {level: "error"}, groups: {read: {prefix: "/r", latency_budget: 500ms}}
+"""
+
+
+def agents(folder: str, names: list[str], port: int, over: Pipe) -> None:
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
+
+    async def main() -> None:
+        tasks = []
+        for name in names:
+            path = Path(folder) / f"{name}.rec"
+            path.write_text(AGENT % (name, name, name, port))
+            settings = read(path)
+            assert isinstance(settings, AgentSettings)
+            tasks.append(asyncio.create_task(Agent(settings).run()))
+        while not over.poll():
+            await asyncio.sleep(0.05)
+        for task in tasks:
+            task.cancel()
+
+    asyncio.run(main())
+
+
+def measure(args: list[str]) -> dict[str, Any]:
+    count = int(args[0]) if args else 143
+    with tempfile.TemporaryDirectory(dir="/dev/shm" if Path("/dev/shm").is_dir() else None) as name:
+        return asyncio.run(run(Path(name), count, 82, 20))
+
+
+async def run(folder: Path, count: int, backends: int, rounds: int) -> dict[str, Any]:
+    pace, joining = 100 * count, max(2, count // 10)
+    (folder / "c.rec").write_text(SETTINGS % (count, pace, 4 * pace))
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
+    settings = read(folder / "c.rec")
+    assert isinstance(settings, Controller)
+    publish(folder, 1, backends, set())
+    daemon = Daemon(settings)
+    task = asyncio.create_task(daemon.run())
+    while daemon.server.listener is None or not daemon.house.listed:
+        await asyncio.sleep(0.01)
+    port = int(daemon.server.listener.sockets[0].getsockname()[1])
+    names = [f"p{n}" for n in range(count)]
+    context = multiprocessing.get_context("fork")
+    ends, processes = [], []
+    for host in range(HOSTS):
+        here, there = context.Pipe()
+        process = context.Process(target=agents, args=(str(folder), names[host::HOSTS], port, there))
+        process.start()
+        ends.append(here)
+        processes.append(process)
+    house = daemon.house
+    while len(house.joined) < count or not all(house.books.bound(n) for n in house.joined):
+        await asyncio.sleep(0.05)
+    await asyncio.sleep(2.0)
+    changes, withdrawals, paced, sent = [], [], 0.0, 0
+    gone: set[int] = set()
+    for version in range(2, 2 + rounds):
+        drained = version % backends
+        gone.add(drained)
+        for number in list(house.joined)[:joining]:
+            daemon.lines[number].task.cancel()
+            house.left(daemon.clock.now(), number, "for the measurement")
+        await asyncio.sleep(0.02)
+        began, before = time.perf_counter(), house.counts["joins"]
+        publish(folder, version, backends, gone)
+        told = [n for n in house.joined]
+        while f"b{drained}" not in house.books.withdrawn:
+            await asyncio.sleep(0.0005)
+        turn = house.brain.turn
+        while any(house.applied.get(n, (0, ""))[0] < turn for n in told if n in house.joined):
+            await asyncio.sleep(0.0005)
+        withdrawals.append(time.perf_counter() - began)
+        sent, paced = len(told), max(paced, house.channel.limits.head * len(told) / pace)
+        await asyncio.sleep(0.3)
+        began, turn = time.perf_counter(), house.brain.turn
+        while house.brain.turn == turn or house.channel.waiting:
+            await asyncio.sleep(0.0005)
+        turn = house.brain.turn
+        began = time.perf_counter()
+        while any(house.applied.get(n, (0, ""))[0] < turn for n in house.joined if house.books.bound(n)):
+            await asyncio.sleep(0.0005)
+            if time.perf_counter() - began > 5:
+                break
+        changes.append(time.perf_counter() - began)
+        assert house.counts["joins"] >= before
+        await asyncio.sleep(0.6)
+    for end in ends:
+        end.send(True)
+    daemon.over.set()
+    await task
+    for process in processes:
+        process.join()
+    body = json.dumps({"withdrawn": {"b1": True}}).encode().ljust(420)
+    bare = [await writes(sent, body) for _ in range(rounds)]
+    return {
+        "agents": count, "joins in each round": joining,
+        "withdrawal, list written to last answer, ms": quantiles(withdrawals),
+        "of it the stated pace, ms": round(paced * 1000, 1),
+        "last change leaves the channel to last answer, ms": quantiles(changes),
+        "bare writes and answers of the same bytes, ms": quantiles(bare),
+    }  # fmt: skip
+
+
+def publish(folder: Path, version: int, backends: int, gone: set[int]) -> None:
+    entries = [
+        {
+            "id": f"b{n}", "address": f"127.0.0.1:{9000 + n}", "zone": "z",
+            "state": "draining" if n in gone else "ready",
+        }
+        for n in range(backends)
+    ]  # fmt: skip
+    beside = folder / "list.tmp"
+    beside.write_text(json.dumps({"version": version, "backends": entries}))
+    beside.rename(folder / "list.json")
+
+
+async def writes(count: int, body: bytes) -> float:
+    """As many connections, each written the bytes and answered a line."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while await reader.readexactly(len(body)):
+            writer.write(b"ok\n")
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    ends = [await asyncio.open_connection("127.0.0.1", port) for _ in range(count)]
+    began = time.perf_counter()
+    for _, writer in ends:
+        writer.write(body)
+    await asyncio.gather(*(reader.readline() for reader, _ in ends))
+    took = time.perf_counter() - began
+    for _, writer in ends:
+        writer.close()
+    server.close()
+    return took
--- /dev/null
+++ b/benchmarks/swaps.py
@@ -0,0 +1,85 @@
+"""Swaps a second of one agent against a bare write, flush and rename of the same bytes."""
+
+from __future__ import annotations
+
+import os
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+from benchmarks.figures import ratio
+from onyxhead.agent.daemon import Tree
+from onyxhead.agent.keeper import Keeper, Taken, state_of
+from onyxhead.http.messages import JSON, MERGE_PATCH, STREAM, Request, content_digest
+from onyxhead.settings.load import Agent, Log, Route
+from onyxhead.tables.view import View, canonical
+
+ROUTES = (Route("read", "/r", 0.5, 1), Route("write", "/w", 1.0, 0))
+
+
+def measure(args: list[str]) -> dict[str, Any]:
+    rounds, backends = 5, int(args[0]) if args else 82
+    with tempfile.TemporaryDirectory(dir=args[1] if len(args) > 1 else None) as name:
+        folder = Path(name)
+        settings = Agent(
+            "p", "z", ("127.0.0.1", 1), None, folder / "files", folder / "state", (), 1.0, ROUTES, 1.2, {}, None, 3.0,
+            0.1, 1 << 24, None, Log("error", "json"),
+        )  # fmt: skip
+        tree = Tree(settings)
+        keeper = Keeper(View.EMPTY)
+        keeper.listen_to("s")
+        leaves: dict[Any, Any] = {("bindings", route.group): "1.0" for route in ROUTES}
+        for number in range(backends):
+            leaves["tables", "1.0", "lines", f"b{number}"] = line(number, 1000)
+        apply(tree, keeper, View.of(leaves).document(), whole=True)
+        ours, bare = [], []
+        for turn in range(rounds):
+            ours.append(rate(lambda n, turn=turn: step(tree, keeper, turn * 1000 + n, backends)))  # type: ignore[misc]
+            files = [(tree.state, state_of(keeper.view)), *tree.files(keeper.view)]
+            changed = [(path, body) for path, body in files if path.name in ("view.json", "eds.json", "upstreams.conf")]
+            bare.append(rate(lambda n, changed=changed: plain(changed)))  # type: ignore[misc]
+    made = ratio(ours, bare)
+    return {"backends": backends, "swaps a second": round(max(ours)), "bare": round(max(bare)), "ours/bare": made}
+
+
+def line(number: int, weight: int) -> dict[str, Any]:
+    return {"address": f"127.0.0.1:{9000 + number}", "weight": weight, "zone": "z"}
+
+
+def step(tree: Tree, keeper: Keeper, number: int, backends: int) -> None:
+    lines = {f"b{number % backends}": line(number % backends, 1 + number)}
+    apply(tree, keeper, {"tables": {"1.0": {"lines": lines}}}, whole=False)
+
+
+def apply(tree: Tree, keeper: Keeper, document: Any, whole: bool) -> None:  # noqa: ANN401
+    body = canonical(document)
+    headers = {
+        STREAM: "s", "if-match": keeper.view.tag, "content-digest": content_digest(body),
+        "content-type": JSON if whole else MERGE_PATCH,
+    }  # fmt: skip
+    taken = keeper.take(Request("PUT" if whole else "PATCH", "/v1/view", headers, body))
+    assert isinstance(taken, Taken), taken
+    tree.put(taken.view)
+    keeper.applied(taken)
+
+
+def plain(files: list[tuple[Path, bytes]]) -> None:
+    for path, body in files:
+        beside = path.with_name(".bare")
+        handle = os.open(beside, os.O_WRONLY | os.O_CREAT | os.O_TRUNC)
+        os.write(handle, body)
+        os.fsync(handle)
+        os.close(handle)
+        os.rename(beside, path)
+        folder = os.open(path.parent, os.O_RDONLY)
+        os.fsync(folder)
+        os.close(folder)
+
+
+def rate(work: Any, seconds: float = 1.0) -> float:  # noqa: ANN401
+    began, count = time.perf_counter(), 0
+    while time.perf_counter() < began + seconds:
+        work(count)
+        count += 1
+    return count / (time.perf_counter() - began)
--- a/onyxhead/agent/daemon.py
+++ b/onyxhead/agent/daemon.py
@@ -112,17 +112,22 @@
         for name in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(name, self.over.set)
         log.info("serving", name=self.settings.name, host=host, port=port, tag=self.keeper.view.tag)
-        tasks = [asyncio.create_task(self._stay_joined())]
+        tasks = [asyncio.create_task(self._stay_joined()), asyncio.create_task(self._ended())]
         if self.settings.stats is not None:
             tasks.append(asyncio.create_task(self._report(self.settings.stats)))
-        await asyncio.wait([asyncio.create_task(self.over.wait()), *tasks], return_when=asyncio.FIRST_COMPLETED)
-        self.server.close()
-        for task in tasks:
-            task.cancel()
-        for result in await asyncio.gather(*tasks, return_exceptions=True):
-            if isinstance(result, Exception):
-                log.error("a task failed", error=repr(result), exc_info=result)
-        log.info("ended", name=self.settings.name)
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            self.server.close()
+            for task in tasks:
+                task.cancel()
+            for result in await asyncio.gather(*tasks, return_exceptions=True):
+                if isinstance(result, Exception):
+                    log.error("a task failed", error=repr(result), exc_info=result)
+            log.info("ended", name=self.settings.name)
+
+    async def _ended(self) -> None:
+        await self.over.wait()
 
     # Orders
 
@@ -253,7 +258,8 @@
             if left <= 0:
                 break
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self.lost.wait(), left)
+                async with asyncio.timeout(left):
+                    await self.lost.wait()
         self.lost.set()
         if self.writer is not None:
             self.writer.close()
--- a/onyxhead/controller/channel.py
+++ b/onyxhead/controller/channel.py
@@ -42,7 +42,7 @@
         self.written: dict[int, deque[int]] = {}
         self.slower = 1.0
         self.free_at = 0.0
-        self.peak = 0.0
+        self.peak = self.waiting = 0.0
 
     def join(self, proxy: int) -> None:
         self.leave(proxy)
@@ -51,14 +51,12 @@
 
     def leave(self, proxy: int) -> None:
         """Whatever waits for the proxy is lost with its stream."""
-        self.streams.pop(proxy, None)
+        lost = list(self.streams.pop(proxy, ()))
         self.written.pop(proxy, None)
-        self.queue = deque(sent for sent in self.queue if sent.proxy != proxy)
-
-    @property
-    def waiting(self) -> float:
-        queued = sum(sent.lines for sent in self.queue)
-        return queued + sum(sent.lines for stream in self.streams.values() for sent in stream)
+        queued = [sent for sent in self.queue if sent.proxy == proxy]
+        if queued:
+            self.queue = deque(sent for sent in self.queue if sent.proxy != proxy)
+        self.waiting -= sum(sent.lines for sent in (*lost, *queued))
 
     def offer(self, now: int, proxy: int, order: Order, lines: float) -> None:
         """Queues one message. Raises Overfull, or KeyError for a proxy that has not joined."""
@@ -71,6 +69,7 @@
         if self.limits.messages_cap and len(written) >= self.limits.messages_cap:
             raise Overfull(f"{len(written)} messages were written to the proxy, no more may be")
         written.append(now)
+        self.waiting = waiting
         self.peak = max(self.peak, waiting)
         if not self.queue:
             self.free_at = max(self.free_at, now)
@@ -89,7 +88,7 @@
     def taken(self, proxy: int) -> None:
         """The proxy's stream has taken its oldest message."""
         if self.streams.get(proxy):
-            self.streams[proxy].popleft()
+            self.waiting -= self.streams[proxy].popleft().lines
 
     def stuck(self, now: int) -> list[int]:
         """Proxies whose streams have taken nothing for too long."""
--- a/onyxhead/controller/daemon.py
+++ b/onyxhead/controller/daemon.py
@@ -107,13 +107,15 @@
         log.info("serving", name=self.settings.name, host=host, port=port, epoch=self.house.epoch)
         self._start(self._follow())
         self._start(self._steps())
-        await self.over.wait()
-        self.server.close()
-        for task in list(self.tasks):
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
-        self.store.close()
-        log.info("ended", name=self.settings.name)
+        try:
+            await self.over.wait()
+        finally:
+            self.server.close()
+            for task in list(self.tasks):
+                task.cancel()
+            await asyncio.gather(*self.tasks, return_exceptions=True)
+            self.store.close()
+            log.info("ended", name=self.settings.name)
 
     def _start(self, work: Any) -> asyncio.Task[None]:  # noqa: ANN401
         task: asyncio.Task[None] = asyncio.get_running_loop().create_task(work)
@@ -139,7 +141,8 @@
             wait = (self.house.next_at() - self.clock.now()) / TENTHS
             if wait > 0:
                 with contextlib.suppress(TimeoutError):
-                    await asyncio.wait_for(self.stir.wait(), wait)
+                    async with asyncio.timeout(wait):
+                        await self.stir.wait()
 
     def _carry(self, now: int, work: Work) -> None:
         for sent in work.leaving:
@@ -237,7 +240,8 @@
 
     async def _next(self, stream: Stream, number: int, orders: asyncio.Queue[tuple[Message, int]]) -> None:
         try:
-            message, ordered = await asyncio.wait_for(orders.get(), BEAT)
+            async with asyncio.timeout(BEAT):
+                message, ordered = await orders.get()
         except TimeoutError:
             held = stream.held
             if await stream.look() != held:
--- a/onyxhead/http/server.py
+++ b/onyxhead/http/server.py
@@ -76,7 +76,8 @@
                 await _write(state, writer, problem(error.error_status_hint, str(error)))
                 return None
             if event is h11.NEED_DATA:
-                state.receive_data(await asyncio.wait_for(reader.read(CHUNK), self.idle))
+                async with asyncio.timeout(self.idle):
+                    state.receive_data(await reader.read(CHUNK))
             elif isinstance(event, h11.Request):
                 head = event
             elif isinstance(event, h11.Data):
--- a/onyxhead/records/meaning.py
+++ b/onyxhead/records/meaning.py
@@ -285,8 +285,9 @@
         for place in range(max(len(one.items), len(two.items))):
             pair = [row.items[place] if place < len(row.items) else row.rest for row in (one, two)]
             if pair[0] is None or pair[1] is None:
-                text = f"{_called(name)}{max(len(one.items), len(two.items))} items where fewer are wanted"
-                return self.fault((two if pair[0] is None else one).at, text)
+                at = two.at if one.at.file == "(built in)" else one.at
+                fewer, more = sorted((len(one.items), len(two.items)))
+                return self.fault(at, f"{_called(name)}{more} items do not go with {fewer}")
             items.append(self.unify(pair[0], pair[1], name))
         rest = None
         if one.rest is not None and two.rest is not None:
@@ -338,7 +339,11 @@
             case Scalar(literal=literal) if literal is not None:
                 return float(literal.value) if value.kind in ("number", "rate") else literal.value
             case Row():
-                return [self.plain(item, f"{name}[{place}]", item.at) for place, item in enumerate(value.items)]
+                made = []
+                for place, item in enumerate(value.items):
+                    at = around if item.at.file == "(built in)" else item.at
+                    made.append(self.plain(item, f"{name}[{place}]", at))
+                return made
             case Record():
                 found = Found(value.at)
                 for label, member in value.members.items():
--- a/onyxhead/store/store.py
+++ b/onyxhead/store/store.py
@@ -33,6 +33,12 @@
 ) strict;
 """.replace("value) strict", "value any) strict")
 
+NOT_ITS_FAULT = {
+    sqlite3.SQLITE_CANTOPEN, sqlite3.SQLITE_FULL, sqlite3.SQLITE_READONLY, sqlite3.SQLITE_IOERR,
+    sqlite3.SQLITE_BUSY, sqlite3.SQLITE_LOCKED, sqlite3.SQLITE_PERM, sqlite3.SQLITE_NOMEM,
+}  # fmt: skip
+"""What the disk or another process may do to a file that is whole."""
+
 Write = tuple[str, tuple[Any, ...]]
 
 
@@ -46,6 +52,10 @@
     withdrawn: dict[str, float]
 
 
+class _Broken(sqlite3.DatabaseError):
+    sqlite_errorcode = sqlite3.SQLITE_CORRUPT
+
+
 class Unusable(Exception):
     """The store can't be opened or written; the text says why."""
 
@@ -71,7 +81,7 @@
         try:
             return self._begin()
         except sqlite3.DatabaseError as error:
-            if isinstance(error, sqlite3.OperationalError):
+            if error.sqlite_errorcode & 0xFF in NOT_ITS_FAULT:
                 raise
         # A broken file is kept for whoever wants to look, and never trusted again.
         aside = self.path.with_name(f"{self.path.name}.broken-{int(self.wall())}")
@@ -84,7 +94,7 @@
     def _begin(self) -> Remembered:
         with contextlib.closing(self._connect()) as db:
             if (found := db.execute("pragma quick_check").fetchone()[0]) != "ok":
-                raise sqlite3.DatabaseError(found)
+                raise _Broken(found)
             db.executescript(TABLES)
             with db:
                 row = db.execute("select value from meta where name = 'epoch'").fetchone()
--- /dev/null
+++ b/tests/test_records.py
@@ -0,0 +1,144 @@
+"""The language of settings: meanings, faults with their places, includes; and the command that checks files."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner
+
+from onyxhead.cli.main import main
+from onyxhead.records.files import check, gather
+from onyxhead.records.syntax import Faulty, parse
+from onyxhead.settings import load
+
+SCHEMA = """
+#Wait: duration & >=10ms & <=1m
+#T: {
+    name: string & =~"^[a-z]+$"
+    wait: *2s | #Wait
+    pace?: rate
+    mode: *"soft" | "hard"
+    parts: {[string]: {count: *1 | int & >0, big?: size}}
+    zones: ["a" | "b", ...string]
+    either: *{file: string} | {server: string, port: *80 | int}
+    share: *0.5 | number & >0 & <1
+}
+"""
+
+
+def meaning(text: str) -> dict[str, Any]:
+    return check([parse(text, "f")], SCHEMA, "#T")
+
+
+def faults(text: str) -> list[str]:
+    with pytest.raises(Faulty) as caught:
+        meaning(text)
+    return [str(fault) for fault in caught.value.faults]
+
+
+GOOD = 'name: "x", parts: {}, zones: ["a"], either: {file: "f"}\n'
+
+
+def test_defaults_are_taken_and_units_become_one() -> None:
+    assert meaning(GOOD) == {
+        "name": "x", "parts": {}, "zones": ["a"], "either": {"file": "f"}, "wait": 20_000, "mode": "soft", "share": 0.5,
+    }  # fmt: skip
+    for text, tenths in (("1500ms", 15_000), ("0.5s", 5000), ("1m", 600_000), ("100000us", 1000)):
+        assert meaning(f"{GOOD} wait: {text}")["wait"] == tenths
+    assert [meaning(f"{GOOD} pace: {text}")["pace"] for text in ("90/s", "120/min", "2/ms")] == [90.0, 2.0, 2000.0]
+
+
+def test_references_comments_and_several_parts_of_one_field_come_together() -> None:
+    text = f"""{GOOD} // a comment
+    #Big: {{big: 2MiB}}
+    usual: 3s"""
+    with pytest.raises(Faulty, match="unknown field 'usual'"):
+        meaning(text)
+    got = meaning(f'{GOOD} #Big: {{big: 2MiB, ...}}, parts: {{one: #Big}}, parts: {{one: {{count: 3}}, "t-2": {{}}}}')
+    assert got["parts"] == {"one": {"big": 2097152, "count": 3}, "t-2": {"count": 1}}
+    assert meaning('#n: "x", name: #n, parts: {}, zones: ["b", "z"], either: {server: "s"}')["either"] == {
+        "server": "s", "port": 80,
+    }  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("text", "wanted"),
+    [
+        (f"{GOOD}wait: 2", "f:2:7: wait: 2 is not 2s or a time such as 1500ms"),
+        (f"{GOOD}wait: 2h", "wait"), (f"{GOOD}wait: 5ms", "wait"),
+        (f"{GOOD}pace: 3s", "f:2:7: pace: 3s where a rate such as 900/s is wanted"),
+        (f"{GOOD}mode: \"sott\"", "did you mean 'soft'?"), (f"{GOOD}moed: 1", "did you mean 'mode'?"),
+        (f"{GOOD}share: 1.5", "f:2:8: share"), (f'{GOOD}name: "y"', 'name: "y" conflicts with "x" at f:1:7'),
+        (f"{GOOD}parts: 3", "does not go with"), (f"{GOOD}parts: {{a: {{count: 0}}}}", "count"),
+        (f"{GOOD}parts: {{a: {{coutn: 1}}}}", "unknown field 'coutn'; did you mean 'count'?"),
+        (f"{GOOD}mode: hard", "nothing is called 'hard'"), (f"{GOOD}a.b: 1", "does not fit"),
+        (GOOD.replace('name: "x"', 'name: "X"'), "does not match"), (GOOD.replace('name: "x", ', ""), "'name' is missing"),
+        (GOOD.replace('["a"]', "[]"), "zones"), (GOOD.replace('["a"]', '["c"]'), 'zones: "c" is not'),
+        (f'{GOOD}name: "unended', "does not end on its line"), (f"{GOOD}parts: {{", "the end of the file"),
+        (f"{GOOD}wait: 0.00001s", "no whole number of tenths"), ("\x00", "does not fit"),
+        (f"{GOOD}#a: #b, #b: #a, wait: #a", "is made of itself"), ("a: " + "[" * 500, "nested more than"),
+        (f"{GOOD}mode: *\"soft\" | *\"hard\"", "more than one default"), (f'{GOOD}name: =~"("', "no pattern"),
+    ],
+)  # fmt: skip
+def test_faults_name_their_place_and_what_was_wanted(text: str, wanted: str) -> None:
+    told = faults(text)
+    assert any(wanted in fault for fault in told), told
+    assert all(fault.startswith("f:") for fault in told)
+
+
+def test_all_faults_of_a_file_come_in_one_pass() -> None:
+    assert len(faults(f"{GOOD}wait: 2\nshare: 7\nmoed: 1\nparts: {{a: {{count: -1}}}}")) == 4
+
+
+def test_includes_are_read_once_and_those_that_go_round_or_miss_are_faults(tmp_path: Path) -> None:
+    (tmp_path / "a.rec").write_text('include "b.rec"\ninclude "c.rec"\nname: "x"\n')
+    (tmp_path / "b.rec").write_text('include "c.rec"\nparts: {}\n')
+    (tmp_path / "c.rec").write_text('zones: ["a"], either: {file: "f"}\n')
+    assert check(gather(tmp_path / "a.rec"), SCHEMA, "#T")["zones"] == ["a"]
+    (tmp_path / "c.rec").write_text('include "a.rec"\n')
+    with pytest.raises(Faulty, match=r"c.rec:1:9: includes go round: a.rec -> b.rec -> c.rec -> a.rec"):
+        gather(tmp_path / "a.rec")
+    (tmp_path / "c.rec").write_text('include "none.rec"\n')
+    with pytest.raises(Faulty, match=r"c.rec:1:9: cannot read"):
+        gather(tmp_path / "a.rec")
+    (tmp_path / "c.rec").write_bytes(b"a: 1\n\xff")
+    with pytest.raises(Faulty, match=r"c.rec:2:1: not UTF-8"):
+        gather(tmp_path / "a.rec")
+
+
+CONTROLLER = """name: "c1", zone: "n", zones: ["n", "s"], listen: "127.0.0.1:70", state: "s"
+groups: {r: {prefix: "/r", latency_budget: 1s, expiry: 2s, repeats: "retriable"}}
+discovery: {file: "l"}
+"""
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "wanted"),
+    [
+        ('zone: "n"', 'zone: "x"', ":1:13: zone 'x' is not one of zones"),
+        ("expiry: 2s", "expiry: 0.5s", ":2:28: latency_budget of r is longer than its expiry"),
+        ('"retriable"', '"deduped"', "needs a dedup_window"), ('"127.0.0.1:70"', '"127.0.0.1:99999"', ":1:43: "),
+        ("expiry: 2s", 'expiry: 2s, zones: ["q"]', "zone 'q' of r"), ("groups: {r: {", "groups: {}, #g: {r: {", "no traffic"),
+        ('{file: "l"}', '{fiel: "l"}', "unknown field 'fiel'"), ("discovery", "channel: {head: 900, most_waiting: 99}\ndiscovery", "no room"),
+    ],
+)  # fmt: skip
+def test_settings_that_contradict_themselves_are_faults(tmp_path: Path, old: str, new: str, wanted: str) -> None:
+    path = tmp_path / "c.rec"
+    path.write_text(CONTROLLER)
+    assert isinstance(load.read(path), load.Controller)
+    path.write_text(CONTROLLER.replace(old, new))
+    with pytest.raises(Faulty, match=wanted.replace("(", r"\(")):
+        load.read(path)
+
+
+def test_check_names_every_fault_and_exits_with_2(tmp_path: Path) -> None:
+    good, bad = tmp_path / "good.rec", tmp_path / "bad.rec"
+    good.write_text(CONTROLLER)
+    bad.write_text(CONTROLLER.replace("state", "sate"))
+    result = CliRunner().invoke(main, ["check", str(good)])
+    assert (result.exit_code, result.output) == (0, "1 sound\n")
+    result = CliRunner().invoke(main, ["check", str(good), str(bad), str(tmp_path / "none")])
+    assert result.exit_code == 2 and "did you mean 'state'" in result.output and "cannot read" in result.output
+    assert CliRunner().invoke(main, ["serve", str(bad)]).exit_code == 2
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,91 @@
+"""The store: what is remembered after a kill, a broken file, a full disk."""
+
+from __future__ import annotations
+
+import sqlite3
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from onyxhead.store import store as module
+from onyxhead.store.store import Store, Unusable
+
+
+def filled(folder: Path) -> Store:
+    own = Store(folder, lambda: 100.0)
+    own.heard_list(7, b"list")
+    own.proxy("p1", 3, "north", '"t"', 9)
+    own.withdrew("b1", True)
+    own.withdrew("b2", True)
+    own.withdrew("b2", False)
+    own.ordered(1, 9, ["list: 2 changes"], [["withdraw", "b1"]])
+    return own
+
+
+def test_the_next_life_knows_what_the_last_one_wrote(tmp_path: Path) -> None:
+    filled(tmp_path).close()
+    own = Store(tmp_path)
+    assert own.remembered == (2, b"list", 100.0, {"p1": 3}, {"b1": 100.0})
+    (order,) = own.orders(5)
+    assert (order["turn"], order["causes"], order["decisions"]) == (9, ["list: 2 changes"], [["withdraw", "b1"]])
+    own.close()
+
+
+def test_every_life_has_an_epoch_of_its_own_also_after_a_kill(tmp_path: Path) -> None:
+    text = (
+        "import os, sys; from pathlib import Path; from onyxhead.store.store import Store\n"
+        "print(Store(Path(sys.argv[1])).remembered.epoch, flush=True); os.kill(os.getpid(), 9)"
+    )
+    epochs = [
+        int(subprocess.run([sys.executable, "-c", text, str(tmp_path)], capture_output=True, check=False).stdout)
+        for _ in range(3)
+    ]
+    assert epochs == [1, 2, 3]
+
+
+@pytest.mark.parametrize("place", [0, 30, 4096])
+def test_a_broken_file_is_put_aside_and_never_trusted(place: int, tmp_path: Path) -> None:
+    filled(tmp_path).close()
+    path = tmp_path / "onyxhead.db"
+    with sqlite3.connect(path) as db:
+        db.execute("pragma wal_checkpoint(truncate)")
+    body = bytearray(path.read_bytes())
+    body[place : place + 600] = b"\xa5" * 600
+    path.write_bytes(bytes(body))
+    for end in ("-wal", "-shm"):
+        path.with_name(path.name + end).unlink(missing_ok=True)
+    own = Store(tmp_path)
+    assert own.remembered.list_body is None and own.notes and list(tmp_path.glob("*.broken-*"))
+    own.close()
+
+
+def test_a_disk_that_takes_nothing_is_told_and_what_waits_is_written_later(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    own = Store(tmp_path)
+    monkeypatch.setattr(module, "RETRY", 0.01)
+    real = own._connect
+
+    def full() -> sqlite3.Connection:
+        raise sqlite3.OperationalError("database or disk is full")
+
+    own._connect = full  # type: ignore[method-assign]
+    own.heard_list(8, b"kept")
+    until = time.monotonic() + 5
+    while not own.failing and time.monotonic() < until:
+        time.sleep(0.01)
+    assert "full" in own.failing
+    own._connect = real  # type: ignore[method-assign]
+    own.close()
+    again = Store(tmp_path)
+    assert again.remembered.list_body == b"kept"
+    again.close()
+
+
+def test_a_folder_that_can_not_be_had_is_one_plain_message(tmp_path: Path) -> None:
+    (tmp_path / "file").write_text("")
+    with pytest.raises(Unusable, match="file"):
+        Store(tmp_path / "file" / "state")
