--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -6,7 +6,7 @@
 import json
 import sys
 
-NAMES = ("swaps", "batch", "fan")
+NAMES = ("swaps", "batch", "fan", "days")
 
 
 def main() -> int:
--- a/onyxhead/trial/days.py
+++ b/onyxhead/trial/days.py
@@ -126,6 +126,11 @@
     return _die(at, min(span, 2.0), pick, lambda fleet, name: fleet.serve(name))
 
 
+def restart(at: float, span: float) -> Steps:
+    """All controllers die with no warning in the middle of it, and come back on what their disks hold."""
+    return _die(at + span / 3, 1.0, lambda fleet: list(fleet.controllers), lambda fleet, name: fleet.serve(name))
+
+
 def balancer_stall(at: float, span: float) -> Steps:
     steps: Steps = []
     for place in range(max(1, int(span // 2))):
@@ -172,6 +177,7 @@
     "deploy": deploy,
     "balancer_crash": balancer_crash,
     "controller_crash": lambda at, span: balancer_crash(at, span, "controllers", 0.5),
+    "restart": restart,
     "shared_slow": lambda at, span: _spell(at, span, lambda fleet: fleet.up(), {"slower": 1.6}, {"slower": 1.0}),
     "origin_slow": lambda at, span: _spell(at, span, _one("wire"), {"bytes_per_s": 40_000}, {"bytes_per_s": 0}),
     "counter_down": lambda at, span: _spell(
@@ -197,6 +203,7 @@
 DAYS = {
     "quiet": (),
     "storm": ("deploy", "burst", "balancer_crash"),
+    "restart": ("deploy", "restart"),
     "cut": ("zone_cut", "controller_crash"),
 }
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -15,8 +15,8 @@
 from onyxhead.fronts.files.push import Refused
 from onyxhead.http.client import ask_once
 from onyxhead.http.messages import Request, answer
-from onyxhead.settings.load import Controller, read
 from onyxhead.settings.load import Agent as AgentSettings
+from onyxhead.settings.load import Controller, read
 from tests.fleetrig import stream_of
 
 CONTROLLER = """
