NETCONF over SSH on a durable configuration core, judged before it acts

Need: a second front on the same core: operators edit groups, limits, weights and drains with any RFC 6241 client. Change: YANG module, edits as one function, datastores with locks and confirmed commits, access rules, audit, commits on disk before they act; a commit that would break a rule by itself is refused.

--- /dev/null
+++ b/onyxhead/controller/configuration/access.py
@@ -0,0 +1,63 @@
+"""Who may do what: groups, rules in order, and a default deny for writes (RFC 8341, in part). No I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from onyxhead.controller.configuration.tree import Problem, Tree, changes
+from onyxhead.settings.load import Rule, User
+
+DENIED_BY_DEFAULT = frozenset({"kill-session", "delete-config"})
+"""Operations that a rule must permit by name (RFC 8341, section 3.1.2; nacm:default-deny-all)."""
+
+
+class Access:
+    def __init__(self, users: Mapping[str, User], rules: tuple[Rule, ...]) -> None:
+        self.users, self.rules = users, rules
+        self.denied = {"operations": 0, "writes": 0}
+
+    def may_run(self, user: str, rpc: str) -> None:
+        """Raises Problem access-denied."""
+        if rpc == "close-session":
+            return
+        for rule in self._rules(user):
+            if rule.path is None and rule.rpc in (None, "*", rpc) and _covers(rule, "exec"):
+                if rule.permit:
+                    return
+                break
+        else:
+            if rpc not in DENIED_BY_DEFAULT:
+                return
+        self.denied["operations"] += 1
+        raise Problem("access-denied", f"{user} may not run {rpc}", kind="protocol")
+
+    def may_write(self, user: str, before: Tree, after: Tree, root: str) -> None:
+        """Raises Problem access-denied for the first change that no rule permits."""
+        for operation, path in changes(before, after, root):
+            if not self._permits(user, path, operation):
+                self.denied["writes"] += 1
+                raise Problem("access-denied", f"{user} may not {operation} {path}", path)
+
+    def readable(self, user: str, path: str) -> bool:
+        for rule in self._rules(user):
+            if rule.rpc is None and _covers(rule, "read") and _below(path, rule.path):
+                return rule.permit
+        return True
+
+    def _permits(self, user: str, path: str, operation: str) -> bool:
+        for rule in self._rules(user):
+            if rule.rpc is None and _covers(rule, operation) and _below(path, rule.path):
+                return rule.permit
+        return False
+
+    def _rules(self, user: str) -> list[Rule]:
+        groups = set(self.users[user].groups) if user in self.users else set()
+        return [rule for rule in self.rules if "*" in rule.groups or groups & set(rule.groups)]
+
+
+def _covers(rule: Rule, operation: str) -> bool:
+    return "*" in rule.operations or operation in rule.operations
+
+
+def _below(path: str, root: str | None) -> bool:
+    return root is None or path == root or path.startswith(root.rstrip("/") + "/")
--- /dev/null
+++ b/onyxhead/controller/configuration/datastores.py
@@ -0,0 +1,169 @@
+"""Running, candidate and startup: who may change them, and what a commit is (RFC 6241, sections 7 and 8).
+
+Nothing here does I/O. A commit is decided here, and counts once the host has it on disk: `commit` returns what is to be
+written, `done` says that it was. Times are seconds of the wall's clock, since a time-out outlives the process.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from onyxhead.controller.configuration.tree import Edit, Node, Problem, Tree, apply
+
+CONFIRM_TIMEOUT = 600
+NAMES = ("running", "candidate", "startup")
+
+
+class Commit(NamedTuple):
+    """One state of running. `until` is when it is taken back if nobody confirms it; 0 for never.
+
+    `back` is the number of the commit that holds then; `persist` lets another session confirm."""
+
+    number: int
+    tree: Tree
+    user: str
+    what: str
+    until: float = 0.0
+    back: int = 0
+    persist: str = ""
+
+
+class Datastores:
+    """`check` raises Problem for a tree that the schema refuses; `allowed` for one that may not take effect."""
+
+    def __init__(
+        self, node: Node, commits: list[Commit], check: Callable[[Tree], None], startup: Tree | None = None
+    ) -> None:
+        self.node, self.check = node, check
+        self.commits = {commit.number: commit for commit in commits}
+        self.last = commits[-1]
+        self.running, self.candidate = self.last.tree, self.last.tree
+        self.startup = startup if startup is not None else commits[0].tree
+        self.locks: dict[str, int] = {}
+        self.changed_by = 0
+        self.owner = 0
+        self.sessions: set[int] = set()
+
+    def get(self, name: str) -> Tree:
+        if name not in NAMES:
+            raise Problem("invalid-value", f"there is no datastore {name!r}")
+        return {"running": self.running, "candidate": self.candidate, "startup": self.startup}[name]
+
+    # Locks
+
+    def lock(self, session: int, name: str) -> None:
+        """Raises Problem lock-denied, with the session that holds it or stands in the way."""
+        self.get(name)
+        if name in self.locks:
+            raise Problem("lock-denied", f"{name} is locked", kind="protocol", session_id=str(self.locks[name]))
+        if name == "candidate" and self.candidate != self.running:
+            holder = str(self.changed_by)
+            raise Problem("lock-denied", "candidate has changes of its own", kind="protocol", session_id=holder)
+        if name == "running" and self.last.until:
+            raise Problem("lock-denied", "a commit waits to be confirmed", kind="protocol", session_id="0")
+        self.locks[name] = session
+
+    def unlock(self, session: int, name: str) -> None:
+        self.get(name)
+        if self.locks.get(name) != session:
+            raise Problem("operation-failed", f"{name} is not locked by this session", kind="protocol")
+        del self.locks[name]
+        if name == "candidate":
+            self.candidate = self.running
+
+    def may_write(self, session: int, name: str) -> None:
+        """Raises Problem in-use where another session holds the lock."""
+        holder = self.locks.get(name, session)
+        if holder != session:
+            raise Problem("in-use", f"{name} is locked by session {holder}", kind="protocol")
+
+    # Changes
+
+    def edited(self, session: int, name: str, edit: Edit, default: str, test: bool = True) -> Tree:
+        """What the datastore would hold after the edit; nothing is set. Raises Problem."""
+        if name == "running":
+            raise Problem("operation-not-supported", "running is changed by commit", kind="protocol")
+        before = self.get(name)
+        self.may_write(session, name)
+        after = apply(self.node, before, edit, default)
+        if test:
+            self.check(after)
+        return after
+
+    def put(self, session: int, name: str, tree: Tree) -> None:
+        """Replaces a datastore whole. Raises Problem."""
+        self.get(name)
+        self.may_write(session, name)
+        if name == "running":
+            raise Problem("operation-not-supported", "running is changed by commit", kind="protocol")
+        if name == "candidate":
+            self.candidate, self.changed_by = tree, session
+        else:
+            self.check(tree)
+            self.startup = tree
+
+    def discard(self, session: int) -> None:
+        self.may_write(session, "candidate")
+        self.candidate = self.running
+
+    # Commits
+
+    def commit(
+        self, session: int, user: str, now: float, confirmed: bool = False, timeout: int = CONFIRM_TIMEOUT,
+        persist: str = "", persist_id: str = "",
+    ) -> Commit:  # fmt: skip
+        """The commit to write down; nothing has changed until `done`. Raises Problem."""
+        for name in ("running", "candidate"):
+            self.may_write(session, name)
+        waiting = self.last
+        if waiting.until:
+            if waiting.persist != persist_id or (not waiting.persist and session != self.owner):
+                raise Problem("invalid-value", "another commit waits to be confirmed, under another persist-id")
+        elif persist_id:
+            raise Problem("invalid-value", "no commit waits to be confirmed")
+        self.check(self.candidate)
+        # A chain of unconfirmed commits goes back to where it began, not to its last link.
+        back = (waiting.back if waiting.until else waiting.number) if confirmed else 0
+        until = now + timeout if confirmed else 0.0
+        what = "commit" if not confirmed and not waiting.until else "confirmed commit" if confirmed else "confirm"
+        return Commit(waiting.number + 1, self.candidate, user, what, until, back, persist if confirmed else "")
+
+    def done(self, session: int, commit: Commit) -> None:
+        """The commit is on disk and holds from now on."""
+        self.commits[commit.number] = self.last = commit
+        self.running, self.owner = commit.tree, session
+        if commit.what == "roll back" and self.candidate != commit.tree and not self.locks.get("candidate"):
+            self.candidate = commit.tree
+
+    def cancel(self, session: int, user: str, persist_id: str = "") -> Commit:
+        """The commit that takes an unconfirmed one back. Raises Problem."""
+        waiting = self.last
+        if not waiting.until:
+            raise Problem("operation-failed", "no commit waits to be confirmed")
+        if waiting.persist != persist_id or (not waiting.persist and session != self.owner):
+            raise Problem("invalid-value", "the commit that waits has another persist-id")
+        return self._back(user)
+
+    def overdue(self, now: float) -> Commit | None:
+        """The commit that takes back what nobody confirmed in time, if there is one to be made."""
+        return self._back("(time-out)") if self.last.until and now >= self.last.until else None
+
+    def _back(self, user: str) -> Commit:
+        before = self.commits[self.last.back]
+        return Commit(self.last.number + 1, before.tree, user, "roll back")
+
+    # Sessions
+
+    def began(self, session: int) -> None:
+        self.sessions.add(session)
+
+    def ended(self, session: int) -> Commit | None:
+        """The session is over: its locks go, its candidate with its lock, and a commit that only it could confirm."""
+        self.sessions.discard(session)
+        if self.locks.get("candidate") == session:
+            self.candidate = self.running
+        self.locks = {name: holder for name, holder in self.locks.items() if holder != session}
+        if self.last.until and not self.last.persist and self.owner == session:
+            return self._back("(session ended)")
+        return None
--- /dev/null
+++ b/onyxhead/controller/configuration/views.py
@@ -0,0 +1,145 @@
+"""A controller's settings as a data tree, and a tree as settings: two views of one thing, with no change of meaning."""
+
+from __future__ import annotations
+
+import json
+from decimal import Decimal
+from typing import Any
+
+import onyxhead.interface as say
+from onyxhead.controller.configuration.tree import Tree
+from onyxhead.controller.roster import Entry, Roster
+from onyxhead.settings.load import Controller
+
+
+def tree_of(settings: Controller) -> Tree:
+    """What of a controller's settings can be edited in service."""
+    start = settings.start
+    groups = [_group(group, settings.zones) for group in sorted(start.groups, key=lambda group: group.name)]
+    tree: Tree = {
+        "group": groups,
+        "channel": {"pace": figure(start.channel.lines_per_s), "most-waiting": int(start.channel.most_waiting)},
+        "guards": {
+            "drain-grace": start.guards.drain_grace, "unserved-limit": start.guards.unserved_limit,
+            "cold-time": start.guards.cold_time, "overload-factor": figure(start.guards.overload_factor),
+        },
+    }  # fmt: skip
+    backends = []
+    for name, (weight, out) in sorted(settings.overrides.items()):
+        backends.append(
+            {"id": name} | ({"weight": figure(weight)} if weight else {}) | ({"drained": True} if out else {})
+        )
+    return tree | ({"backend": backends} if backends else {})
+
+
+def _group(group: say.TrafficGroup, zones: tuple[str, ...]) -> Tree:
+    made: Tree = {
+        "name": group.name, "utility": figure(group.utility), "latency-budget": group.latency_budget,
+        "expiry": group.expiry, "repeats": group.repeats.value, "dedup-reach": group.dedup_reach,
+        "dedup-window": group.dedup_window, "home-zone-only": group.home_zone_only,
+    }  # fmt: skip
+    return made | ({"zone": sorted(zones[zone] for zone in group.zones)} if group.zones else {})
+
+
+def figure(value: float) -> str:
+    """A decimal64 with three digits, as RFC 7951 writes it."""
+    text = format(Decimal(str(round(value, 3))).normalize(), "f")
+    return text if "." in text else f"{text}.0"
+
+
+def deployment(tree: Tree, settings: Controller) -> say.Deployment:
+    """What the module starts with under a tree; all else stays as the settings have it. Raises ValueError."""
+    start, channel, guards = settings.start, tree.get("channel", {}), tree.get("guards", {})
+    groups = []
+    for given in tree["group"]:
+        unknown = set(given.get("zone", ())) - set(settings.zones)
+        if unknown:
+            raise ValueError(f"zone {sorted(unknown)[0]!r} of {given['name']} is not one of this controller's")
+        zones = frozenset(map(settings.zones.index, given["zone"])) if given.get("zone") else None
+        groups.append(
+            say.TrafficGroup(
+                given["name"],
+                float(given.get("utility", 1)),
+                given["latency-budget"],
+                given["expiry"],
+                say.Repeats(given["repeats"]),
+                given.get("dedup-reach", "all"),
+                given.get("dedup-window", 0),
+                zones,
+                given.get("home-zone-only", False),
+            )  # fmt: skip
+        )
+    return start._replace(
+        groups=tuple(groups),
+        channel=start.channel._replace(
+            lines_per_s=float(channel.get("pace", 1000)), most_waiting=float(channel.get("most-waiting", 2000))
+        ),
+        guards=start.guards._replace(
+            drain_grace=guards.get("drain-grace", 20_000), unserved_limit=guards.get("unserved-limit", 30_000),
+            cold_time=guards.get("cold-time", 150_000), overload_factor=float(guards.get("overload-factor", 3)),
+        ),
+    )  # fmt: skip
+
+
+def overlaid(roster: Roster, tree: Tree) -> Roster:
+    """Discovery's list with what operators say of its backends over it."""
+    said = {each["id"]: each for each in tree.get("backend", ())}
+    return roster._replace(entries=tuple(_overlaid(entry, said.get(entry.id, {})) for entry in roster.entries))
+
+
+def _overlaid(entry: Entry, said: Tree) -> Entry:
+    weight = float(said["weight"]) if "weight" in said else entry.weight
+    return entry._replace(weight=weight, state="draining" if said.get("drained") else entry.state)
+
+
+def as_records(tree: Tree, prefixes: dict[str, str]) -> str:
+    """The tree as a settings file that a controller's own file can include in place of these fields."""
+    channel, guards = tree.get("channel", {}), tree.get("guards", {})
+    groups = {}
+    for given in tree["group"]:
+        groups[given["name"]] = {
+            "utility": _raw(given.get("utility", "1.0")), "latency_budget": _span(given["latency-budget"]),
+            "expiry": _span(given["expiry"]), "repeats": given["repeats"],
+            "dedup_reach": given.get("dedup-reach", "all"), "dedup_window": _span(given.get("dedup-window", 0)),
+            "home_zone_only": given.get("home-zone-only", False), "prefix": prefixes.get(given["name"], "/"),
+        } | ({"zones": given["zone"]} if "zone" in given else {})  # fmt: skip
+    backends = {
+        each["id"]: ({"weight": _raw(each["weight"])} if "weight" in each else {})
+        | ({"drained": True} if each.get("drained") else {})
+        for each in tree.get("backend", ())
+    }
+    parts = {
+        "groups": groups,
+        "channel": {
+            "pace": _Raw(f"{channel.get('pace', '1000.0')}/s"), "most_waiting": channel.get("most-waiting", 2000),
+        },
+        "guards": {
+            "drain_grace": _span(guards.get("drain-grace", 20_000)),
+            "unserved_limit": _span(guards.get("unserved-limit", 30_000)),
+            "cold_time": _span(guards.get("cold-time", 150_000)),
+            "overload_factor": _raw(guards.get("overload-factor", "3.0")),
+        },
+        "backends": backends,
+    }  # fmt: skip
+    return "".join(f"{name}: {_written(value, 0)}\n" for name, value in parts.items())
+
+
+class _Raw(str):
+    """Text that stands in a file as it is."""
+
+
+def _raw(text: str) -> _Raw:
+    return _Raw(text)
+
+
+def _span(tenths: int) -> _Raw:
+    return _Raw(f"{tenths * 100}us")
+
+
+def _written(value: Any, depth: int) -> str:  # noqa: ANN401
+    if isinstance(value, _Raw):
+        return value
+    if not isinstance(value, dict):
+        return json.dumps(value)
+    inner = "".join(f"{'    ' * (depth + 1)}{json.dumps(k)}: {_written(v, depth + 1)}\n" for k, v in value.items())
+    return f"{{\n{inner}{'    ' * depth}}}" if value else "{}"
--- a/onyxhead/controller/daemon.py
+++ b/onyxhead/controller/daemon.py
@@ -9,15 +9,18 @@
 import contextlib
 import secrets
 import signal
+import ssl
 import time
 from collections.abc import AsyncIterator
-from typing import Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import structlog
 
 import onyxhead.interface as say
 from onyxhead.controller import discovery, roster, sums
 from onyxhead.controller.clock import Clock
+from onyxhead.controller.configuration.tree import Tree
+from onyxhead.controller.configuration.views import deployment, overlaid
 from onyxhead.controller.house import House, Joining, Work
 from onyxhead.controller.probe import look
 from onyxhead.fronts.files.push import Encoder, Refused, Stream
@@ -31,9 +34,14 @@
 SHORTEST_STEP = 0.004
 """Seconds between two steps, so that what comes in together is decided together."""
 BEAT = 1.0
+TICK = 0.25
 NUMBER_OF_ORDERS = 100
 TENTHS = 10_000
 
+if TYPE_CHECKING:
+    from onyxhead.controller.configuration.desk import Desk
+    from onyxhead.fronts.netconf.server import Front
+
 log = structlog.get_logger()
 
 
@@ -51,10 +59,19 @@
         self.clock = Clock(time.time, time.monotonic)
         self.store = Store(settings.state)
         known = self.store.remembered
-        self.house = House(
-            settings.start, settings.groups, settings.zones, settings.seed + known.epoch, known.epoch,
-            settings.patience, self.clock.now(), known.numbers,
-        )  # fmt: skip
+        self.raw: roster.Roster | None = None
+        self.tree: Tree = {}
+        self.desk: Desk | None = None
+        self.front: Front | None = None
+        start = settings.start
+        if settings.netconf is not None:
+            # Read only where it is served: its libraries take longer to load than all the rest.
+            from onyxhead.controller.office import open_desk
+
+            self.desk = open_desk(self)
+            self.tree = self.desk.stores.running
+            start = deployment(self.tree, settings)
+        self.house = self._house(start, known.epoch, known.numbers)
         self.follower = roster.Follower(settings.zones, self.clock.of_wall, self.clock.now)
         self.encoder = Encoder()
         self.lines: dict[int, Line] = {}
@@ -66,6 +83,11 @@
         self.list_heard_at = 0.0
         self._remember()
 
+    def _house(self, start: say.Deployment, epoch: int, numbers: dict[str, int]) -> House:
+        settings, names = self.settings, tuple(group.name for group in start.groups)
+        seed = settings.seed + epoch
+        return House(start, names, settings.zones, seed, epoch, settings.patience, self.clock.now(), numbers)
+
     # Starting and ending
 
     def _remember(self) -> None:
@@ -81,7 +103,8 @@
             log.warning("the remembered list is not used", age_s=round(age), good_for_s=self.settings.list_good_for)
             return
         try:
-            news = self.follower.remember(roster.read(known.list_body))
+            self.raw = roster.read(known.list_body)
+            news = self.follower.remember(overlaid(self.raw, self.tree))
         except roster.Unlisted as error:
             log.warning("the remembered list is not used", why=str(error))
             return
@@ -105,12 +128,20 @@
         for name in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(name, self.over.set)
         log.info("serving", name=self.settings.name, host=host, port=port, epoch=self.house.epoch)
+        if self.desk is not None and self.settings.netconf is not None:
+            from onyxhead.fronts.netconf.server import Front
+
+            self.front = Front(self.settings.netconf, self.desk)
+            await self.front.start(self.netconf_tls())
+            self._start(self._confirming(self.desk))
         self._start(self._follow())
         self._start(self._steps())
         try:
             await self.over.wait()
         finally:
             self.server.close()
+            if self.front is not None:
+                self.front.close()
             for task in list(self.tasks):
                 task.cancel()
             await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -153,6 +184,8 @@
             told = [each for each in told if each]
             log.info("orders", turn=step.turn, causes=step.causes, orders=told)
             self.store.ordered(self.house.epoch, step.turn, step.causes, told)
+            if self.desk is not None:
+                self.desk.tell("orders-sent", {"turn": step.turn, "cause": step.causes})
             for decision in step.decisions:
                 if isinstance(decision, say.Shutout):
                     self.store.withdrew(decision.backend, decision.shut)
@@ -187,20 +220,52 @@
                 if isinstance(body, discovery.Unheard):
                     raise body
                 read = roster.read(body)
-                news = self.follower.follow(read)
+                news = self.follower.follow(overlaid(read, self.tree))
             except (discovery.Unheard, roster.Unlisted) as error:
                 if last != str(error):
                     last = str(error)
                     log.warning("the list is not followed", why=last)
                 continue
-            last, self.list_heard_at = "", time.time()
+            last, self.list_heard_at, self.raw = "", time.time(), read
             if news is not None:
-                for note in news.notes:
-                    log.warning("list", note=note)
-                self.house.list_heard(self.clock.now(), news)
+                self._listed(news)
                 self.store.heard_list(read.version, read.body())
-                log.info("list", version=read.version, kind=news.kind.value, entries=len(news.listed))
-                self.stir.set()
+
+    def _listed(self, news: roster.Followed) -> None:
+        for note in news.notes:
+            log.warning("list", note=note)
+        self.house.list_heard(self.clock.now(), news)
+        log.info("list", kind=news.kind.value, entries=len(news.listed))
+        self.stir.set()
+
+    def list_again(self) -> None:
+        """The last list, under what operators say now."""
+        if self.raw is not None and (news := self.follower.follow(overlaid(self.raw, self.tree))) is not None:
+            self._listed(news)
+
+    def rebuild(self, start: say.Deployment) -> None:
+        """A new start of the module under other settings. Proxies keep their tables and join again, as after a crash:
+        their full tables are then paced like any others."""
+        epoch = self.store.next_epoch()
+        for line in self.lines.values():
+            line.task.cancel()
+        self.lines.clear()
+        withdrawn = list(self.house.books.withdrawn)
+        self.house = self._house(start, epoch, self.house.numbers)
+        self.follower = roster.Follower(self.settings.zones, self.clock.of_wall, self.clock.now)
+        if self.raw is not None:
+            self.house.list_heard(self.clock.now(), self.follower.remember(overlaid(self.raw, self.tree)))
+        self.house.withdrawn_before(self.clock.now(), withdrawn)
+        log.info("rebuilt", epoch=epoch)
+        self.stir.set()
+
+    async def _confirming(self, desk: Desk) -> None:
+        while True:
+            desk.tick()
+            await asyncio.sleep(TICK)
+
+    def netconf_tls(self) -> ssl.SSLContext | None:
+        return None
 
     # Proxies
 
--- /dev/null
+++ b/onyxhead/controller/office.py
@@ -0,0 +1,111 @@
+"""Puts the configuration core to work in a running controller: its facts, its disk, its effects."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import structlog
+
+from onyxhead.controller.configuration.access import Access
+from onyxhead.controller.configuration.datastores import Commit, Datastores
+from onyxhead.controller.configuration.desk import Desk, Hands
+from onyxhead.controller.configuration.effects import Backend, Facts, Plan, judge
+from onyxhead.controller.configuration.tree import Problem, Tree
+from onyxhead.controller.configuration.views import deployment, tree_of
+from onyxhead.fronts.netconf import schema
+
+if TYPE_CHECKING:
+    from onyxhead.controller.daemon import Daemon
+
+log = structlog.get_logger()
+SETTINGS = "settings tree"
+STARTUP = "startup"
+
+
+def open_desk(daemon: Daemon) -> Desk:
+    """The desk with the commits of earlier lives; what was in effect when the last one ended is again.
+
+    The settings file counts as a commit whenever it says something else than at the last start. Raises OSError."""
+    store, settings = daemon.store, daemon.settings
+    commits = [Commit(*row) for row in store.commits()]
+    given = tree_of(settings)
+    if not commits or store.kept(SETTINGS) != given:
+        number = commits[-1].number + 1 if commits else 1
+        made = Commit(number, given, "(settings)", "settings")
+        store.committed(*made)
+        store.keep(SETTINGS, given)
+        commits.append(made)
+    stores = Datastores(schema.config(), commits, lambda tree: _check(daemon, tree), store.kept(STARTUP))
+    netconf = settings.netconf
+    access = Access(netconf.users if netconf else {}, netconf.rules if netconf else ())
+    hands = Hands(
+        facts=lambda: facts(daemon),
+        write=lambda commit: store.committed(*commit),
+        save=lambda tree: store.keep(STARTUP, tree),
+        act=lambda tree, plan: act(daemon, tree, plan),
+        state=lambda: state(daemon),
+        wall=time.time,
+        audit=lambda user, session, what, result: _audit(daemon, user, session, what, result),
+    )
+    return Desk(stores, access, hands)
+
+
+def _check(daemon: Daemon, tree: Tree) -> None:
+    schema.check(tree)
+    try:
+        deployment(tree, daemon.settings)
+    except ValueError as error:
+        raise Problem("invalid-value", str(error), "/fleet/group") from None
+
+
+def _audit(daemon: Daemon, user: str, session: int, what: str, result: str) -> None:
+    log.info("audit", user=user, session=session, what=what, result=result)
+    daemon.store.audited(user, session, what, result)
+
+
+def facts(daemon: Daemon) -> Facts:
+    """What is known now of the fleet, as discovery lists it: an operator's own drains are the tree's to count."""
+    house, now = daemon.house, daemon.clock.now()
+    cold = house.start.guards.cold_time
+    raw = {entry.id: entry for entry in daemon.raw.entries} if daemon.raw else {}
+    backends = tuple(
+        Backend(
+            entry.id, entry.zone, entry.state == "ready",
+            not entry.started or now - daemon.clock.of_wall(entry.started) >= cold,
+        )
+        for entry in raw.values()
+    )  # fmt: skip
+    return Facts(backends, len(house.joined), house.channel.waiting, house.channel.limits.head)
+
+
+def act(daemon: Daemon, tree: Tree, plan: Plan) -> None:
+    """Puts a tree into effect: by the list where that is enough, else by a new start of the module."""
+    log.info("configuration", drains=plan.drains, restores=plan.restores, rebuild=plan.rebuild, about_s=plan.seconds)
+    daemon.tree = tree
+    if plan.rebuild:
+        daemon.rebuild(deployment(tree, daemon.settings))
+    daemon.list_again()
+
+
+def preview(daemon: Daemon, desk: Desk, tree: Tree) -> Plan:
+    """What a tree would do if it were committed. Raises Problem."""
+    return judge(desk.stores.running, tree, facts(daemon))
+
+
+def state(daemon: Daemon) -> Tree:
+    known = daemon.house.state(daemon.clock.now())
+    proxies = [
+        {"name": name, "zone": own["zone"], "bound": own["bound"], "turn": own["turn"]}
+        for name, own in sorted(known["proxies"].items())
+    ]
+    backends = [
+        {
+            "id": name, "address": own["address"], "zone": own["zone"], "ready": own["ready"],
+            "withdrawn": own["withdrawn"],
+        }
+        for name, own in known["backends"].items()
+    ]  # fmt: skip
+    channel = {"waiting": round(known["channel"]["waiting"]), "peak": round(known["channel"]["peak"])}
+    made: Tree = {"epoch": known["epoch"], "channel": channel}
+    return made | ({"proxy": proxies} if proxies else {}) | ({"backend": backends} if backends else {})
--- a/onyxhead/settings/load.py
+++ b/onyxhead/settings/load.py
@@ -36,6 +36,35 @@
     at_once: int
 
 
+class Rule(NamedTuple):
+    """One rule of access (RFC 8341): for data below a path or for an operation, or for all if neither is named."""
+
+    name: str
+    groups: tuple[str, ...]
+    path: str | None
+    rpc: str | None
+    operations: tuple[str, ...]
+    permit: bool
+
+
+class User(NamedTuple):
+    keys: tuple[str, ...]
+    groups: tuple[str, ...]
+
+
+class Netconf(NamedTuple):
+    """Where NETCONF is served, and who may do what."""
+
+    ssh: Address | None
+    host_key: Path | None
+    tls: Address | None
+    certificate: Path | None
+    key: Path | None
+    authorities: Path | None
+    users: dict[str, User]
+    rules: tuple[Rule, ...]
+
+
 class Controller(NamedTuple):
     """Times in seconds but for those of `start`, which are the module's."""
 
@@ -51,6 +80,9 @@
     list_good_for: float
     probes: Probes
     log: Log
+    overrides: dict[str, tuple[float, bool]]
+    prefixes: dict[str, str]
+    netconf: Netconf | None
 
 
 class Route(NamedTuple):
@@ -207,12 +239,40 @@
     if faults:
         raise Faulty(faults)
     probes = found["probes"]
+    overrides = {name: (own.get("weight", 0.0), own["drained"]) for name, own in found["backends"].items()}
+    prefixes = {name: group["prefix"] for name, group in found["groups"].items()}
+    front = _netconf(found["netconf"], here, addresses) if "netconf" in found else None
+    if faults:
+        raise Faulty(faults)
     return Controller(
         found["name"], listen, here / found["state"], found["seed"],
         tuple(group.name for group in groups), zones, start, channel["patience"],
         Discovery(file, server, _seconds(given["every"])), _seconds(found["list_good_for"]),
-        Probes(probes["path"], _seconds(probes["timeout"]), probes["at_once"]), Log(**found["log"]),
+        Probes(probes["path"], _seconds(probes["timeout"]), probes["at_once"]), Log(**found["log"]), overrides,
+        prefixes, front,
+    )  # fmt: skip
+
+
+def _netconf(given: Found, here: Path, addresses: _Addresses) -> Netconf:
+    rules = tuple(
+        Rule(
+            each["name"], tuple(each["groups"]), each.get("path"), each.get("rpc"), tuple(each["operations"]),
+            each["action"] == "permit",
+        )
+        for each in given["rules"]
     )  # fmt: skip
+    users = {name: User(tuple(own["keys"]), tuple(own["groups"])) for name, own in given["users"].items()}
+    places = [
+        here / given[name] if name in given else None for name in ("host_key", "certificate", "key", "authorities")
+    ]
+    ssh = addresses.read(given["ssh"], "netconf", "ssh", free=True) if "ssh" in given else None
+    tls = addresses.read(given["tls"], "netconf", "tls", free=True) if "tls" in given else None
+    if ssh is not None and places[0] is None:
+        addresses.faults.append(Fault(given.place("ssh"), "NETCONF over SSH needs a host_key"))
+    if tls is not None and None in places[1:]:
+        text = "NETCONF over TLS needs certificate, key and authorities"
+        addresses.faults.append(Fault(given.place("tls"), text))
+    return Netconf(ssh, places[0], tls, places[1], places[2], places[3], users, rules)
 
 
 def agent(found: Found, path: Path) -> Agent:
--- a/onyxhead/store/store.py
+++ b/onyxhead/store/store.py
@@ -31,6 +31,12 @@
 create table if not exists orders (
     number integer primary key, at real, epoch integer, turn integer, causes text, decisions text
 ) strict;
+create table if not exists commits (
+    number integer primary key, at real, tree text, user text, what text, until real, back integer, persist text
+) strict;
+create table if not exists audit (
+    number integer primary key, at real, user text, session integer, what text, result text
+) strict;
 """.replace("value) strict", "value any) strict")
 
 NOT_ITS_FAULT = {
@@ -56,7 +62,7 @@
     sqlite_errorcode = sqlite3.SQLITE_CORRUPT
 
 
-class Unusable(Exception):
+class Unusable(OSError):
     """The store can't be opened or written; the text says why."""
 
 
@@ -139,15 +145,56 @@
         if turn % 256 == 0:
             self._put(f"delete from orders where number <= (select max(number) - {ORDERS_KEPT} from orders)")
 
-    def orders(self, most: int) -> list[dict[str, Any]]:
-        """The last orders, newest first. Raises Unusable."""
-        names = ("number", "at", "epoch", "turn", "causes", "decisions")
+    # What must be on disk before it is answered
+
+    def next_epoch(self) -> int:
+        """A new epoch, on disk when this returns. Raises Unusable."""
+        self.now("update meta set value = value + 1 where name = 'epoch'")
+        return int(self._rows("select value from meta where name = 'epoch'")[0][0])
+
+    def committed(self, *row: object) -> None:
+        """One commit of the configuration (number, tree, user, what, until, back, persist). Raises Unusable."""
+        number, tree, *rest = row
+        values = (number, self.wall(), json.dumps(tree, sort_keys=True), *rest)
+        self.now("insert into commits values (?, ?, ?, ?, ?, ?, ?, ?)", *values)
+
+    def commits(self) -> list[tuple[Any, ...]]:
+        """All commits kept, oldest first, as `committed` took them. Raises Unusable."""
+        rows = self._rows("select number, tree, user, what, until, back, persist from commits order by number")
+        return [(number, json.loads(tree), *rest) for number, tree, *rest in rows]
+
+    def keep(self, name: str, value: object) -> None:
+        """One value by name. Raises Unusable."""
+        self.now("insert or replace into meta values (?, ?)", name, json.dumps(value, sort_keys=True))
+
+    def kept(self, name: str) -> Any:  # noqa: ANN401
+        """The value kept, or None. Raises Unusable."""
+        rows = self._rows("select value from meta where name = ?", name)
+        return json.loads(rows[0][0]) if rows else None
+
+    def audited(self, user: str, session: int, what: str, result: str) -> None:
+        sql = "insert into audit (at, user, session, what, result) values (?, ?, ?, ?, ?)"
+        self._put(sql, self.wall(), user, session, what, result)
+
+    def now(self, sql: str, *values: object) -> None:
+        """Writes and flushes at once. Raises Unusable."""
+        try:
+            with contextlib.closing(self._connect()) as db, db:
+                db.execute(sql, values)
+        except sqlite3.Error as error:
+            raise Unusable(f"{self.path}: {error}") from None
+
+    def _rows(self, sql: str, *values: object) -> list[tuple[Any, ...]]:
         try:
             with contextlib.closing(self._connect()) as db:
-                sql = f"select {', '.join(names)} from orders order by number desc limit ?"
-                rows = db.execute(sql, (most,)).fetchall()
+                return db.execute(sql, values).fetchall()
         except sqlite3.Error as error:
             raise Unusable(f"{self.path}: {error}") from None
+
+    def orders(self, most: int) -> list[dict[str, Any]]:
+        """The last orders, newest first. Raises Unusable."""
+        names = ("number", "at", "epoch", "turn", "causes", "decisions")
+        rows = self._rows(f"select {', '.join(names)} from orders order by number desc limit ?", most)
         found = [dict(zip(names, row, strict=True)) for row in rows]
         return [each | {key: json.loads(each[key]) for key in ("causes", "decisions")} for each in found]
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -54,11 +54,11 @@
     """A controller, and agents as asked for, in one process; all of it ends with the test."""
 
     def __init__(self, folder: Path) -> None:
-        self.folder, self.tasks = folder, list[asyncio.Task[None]]()
+        self.folder, self.tasks, self.more = folder, list[asyncio.Task[None]](), ""
         list_of(folder, 1, BACKENDS)
 
     async def controller(self) -> Daemon:
-        (self.folder / "c.rec").write_text(CONTROLLER)
+        (self.folder / "c.rec").write_text(CONTROLLER + self.more)
         settings = read(self.folder / "c.rec")
         assert isinstance(settings, Controller)
         daemon = Daemon(settings)
