TLS with keys that change in service, NETCONF over TLS, a private authority

Need: every stream authenticated, keys replaced with no order lost; the front open to client certificates.

--- a/benchmarks/fan.py
+++ b/benchmarks/fan.py
@@ -62,60 +62,77 @@
         return asyncio.run(run(Path(name), count, 82, 12))
 
 
-async def run(folder: Path, count: int, backends: int, rounds: int) -> dict[str, Any]:
-    pace, joining = 100 * count, max(2, count // 10)
-    (folder / "c.rec").write_text(SETTINGS % (count, pace, 4 * pace))
-    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
-    settings = read(folder / "c.rec")
-    assert isinstance(settings, Controller)
-    publish(folder, 1, backends, set())
-    daemon = Daemon(settings)
-    task = asyncio.create_task(daemon.run())
-    while daemon.server.listener is None or not daemon.house.listed:
-        await asyncio.sleep(0.01)
-    port = int(daemon.server.listener.sockets[0].getsockname()[1])
-    names = [f"p{n}" for n in range(count)]
-    context = multiprocessing.get_context("spawn")
-    ends, processes = [], []
-    for host in range(HOSTS):
-        here, there = context.Pipe()
+class Fleet:
+    """A controller here and agents in processes of their own, joined and bound; all of it ends with the block."""
+
+    def __init__(self, folder: Path, count: int, backends: int) -> None:
+        self.folder, self.count, self.backends = folder, count, backends
+        self.pace, self.version, self.gone = 100 * count, 1, set[int]()
+
+    async def __aenter__(self) -> Fleet:
+        (self.folder / "c.rec").write_text(SETTINGS % (self.count, self.pace, 4 * self.pace))
+        structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
+        settings = read(self.folder / "c.rec")
+        assert isinstance(settings, Controller)
+        publish(self.folder, 1, self.backends, set())
+        self.daemon = Daemon(settings)
+        self.task = asyncio.create_task(self.daemon.run())
+        await until(lambda: bool(self.daemon.server.listener and self.daemon.house.listed))
+        assert self.daemon.server.listener is not None
+        port = int(self.daemon.server.listener.sockets[0].getsockname()[1])
+        names = [f"p{n}" for n in range(self.count)]
         # Started anew, not forked: a fork would share the running loop's own descriptors.
-        process = context.Process(target=agents, args=(str(folder), names[host::HOSTS], port, there, os.getpid()))
-        process.start()
-        ends.append(here)
-        processes.append(process)
-    house = daemon.house
-    await until(lambda: len(house.joined) == count and all(house.books.bound(n) for n in house.joined))
-    await asyncio.sleep(2.0)
+        context = multiprocessing.get_context("spawn")
+        self.ends, self.processes = [], []
+        for host in range(HOSTS):
+            here, there = context.Pipe()
+            given = (str(self.folder), names[host::HOSTS], port, there, os.getpid())
+            process = context.Process(target=agents, args=given)
+            process.start()
+            self.ends.append(here)
+            self.processes.append(process)
+        house = self.daemon.house
+        await until(lambda: len(house.joined) == self.count and all(house.books.bound(n) for n in house.joined))
+        await asyncio.sleep(2.0)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for end in self.ends:
+            end.send(True)
+        self.daemon.over.set()
+        await self.task
+        for process in self.processes:
+            process.join()
+
+    def drain(self, number: int) -> None:
+        self.version += 1
+        self.gone.add(number)
+        publish(self.folder, self.version, self.backends, self.gone)
+
+
+async def run(folder: Path, count: int, backends: int, rounds: int) -> dict[str, Any]:
+    joining = max(2, count // 10)
     changes, withdrawals, paced, sent = [], [], 0.0, 0
-    gone: set[int] = set()
-    for version in range(2, 2 + rounds):
-        drained = version % backends
-        gone.add(drained)
-        for number in list(house.joined)[:joining]:
-            daemon.lines[number].task.cancel()
-            house.left(daemon.clock.now(), number, "for the measurement")
-        await asyncio.sleep(0.02)
-        began, before = time.perf_counter(), house.counts["joins"]
-        publish(folder, version, backends, gone)
-        told = [n for n in house.joined]
-        await until(lambda: f"b{drained}" in house.books.withdrawn)
-        turn = house.brain.turn
-        await until(lambda: all(house.applied.get(n, (turn,))[0] >= turn for n in told))
-        withdrawals.append(time.perf_counter() - began)
-        sent, paced = len(told), (house.channel.limits.head + 2) * len(told) / pace
-        await until(lambda: all(f"b{drained}" not in lines for lines in house.books.tables.values()))
-        turn, began = house.brain.turn, time.perf_counter()
-        await until(lambda: all(done[0] >= turn for done in list(house.applied.values())))
-        changes.append(time.perf_counter() - began)
-        assert house.counts["joins"] >= before
-        await asyncio.sleep(0.6)
-    for end in ends:
-        end.send(True)
-    daemon.over.set()
-    await task
-    for process in processes:
-        process.join()
+    async with Fleet(folder, count, backends) as fleet:
+        daemon, house = fleet.daemon, fleet.daemon.house
+        for drained in range(2, 2 + rounds):
+            for number in list(house.joined)[:joining]:
+                daemon.lines[number].task.cancel()
+                house.left(daemon.clock.now(), number, "for the measurement")
+            await asyncio.sleep(0.02)
+            began = time.perf_counter()
+            fleet.drain(drained)
+            told = list(house.joined)
+            await until(lambda: f"b{drained}" in house.books.withdrawn)
+            turn = house.brain.turn
+            await until(lambda: all(house.applied.get(n, (turn,))[0] >= turn for n in told))
+            withdrawals.append(time.perf_counter() - began)
+            sent, paced = len(told), (house.channel.limits.head + 2) * len(told) / fleet.pace
+            await until(lambda: all(f"b{drained}" not in lines for lines in house.books.tables.values()))
+            turn, began = house.brain.turn, time.perf_counter()
+            await until(lambda: all(done[0] >= turn for done in list(house.applied.values())))
+            changes.append(time.perf_counter() - began)
+            await asyncio.sleep(0.6)
     body = json.dumps({"withdrawn": {"b1": True}}).encode().ljust(420)
     bare = [await writes(sent, body) for _ in range(rounds)]
     return {
--- a/onyxhead/agent/daemon.py
+++ b/onyxhead/agent/daemon.py
@@ -20,9 +20,10 @@
 from onyxhead.agent.swap import NotSwapped, clear, swap
 from onyxhead.fronts.files import envoy, nginx
 from onyxhead.fronts.files.push import VIEW
-from onyxhead.http.client import ask_once
+from onyxhead.http.client import Connection, ask_once
 from onyxhead.http.messages import STREAM, Fault, Request, Response, answer, problem
 from onyxhead.http.server import Server
+from onyxhead.keys.rotate import Keys, peer_of
 from onyxhead.settings.load import Address, Agent
 from onyxhead.tables.view import View
 
@@ -87,6 +88,7 @@
     def __init__(self, settings: Agent) -> None:
         self.settings = settings
         self.tree = Tree(settings)
+        self.keys = Keys(settings.tls) if settings.tls is not None else None
         standing = View.of({("standing", name): line for name, line in settings.standing.items()})
         held = self.tree.load()
         self.keeper = Keeper(standing if held is None else held)
@@ -106,7 +108,7 @@
         """Serves until told to end. Raises OSError if the address or the folders can't be had."""
         # A crash may have come between the state and the files; they are made again from the state.
         await asyncio.to_thread(self.tree.put, self.keeper.view)
-        host, port = await self.server.start(*self.settings.listen)
+        host, port = await self.server.start(*self.settings.listen, self.keys.server if self.keys else None)
         self.push = self.settings.advertise or (host, port)
         loop = asyncio.get_running_loop()
         for name in (signal.SIGTERM, signal.SIGINT):
@@ -115,6 +117,8 @@
         tasks = [asyncio.create_task(self._stay_joined()), asyncio.create_task(self._ended())]
         if self.settings.stats is not None:
             tasks.append(asyncio.create_task(self._report(self.settings.stats)))
+        if self.keys is not None and self.settings.tls is not None:
+            tasks.append(asyncio.create_task(self._rotate(self.keys, (host, port), self.settings.tls.every)))
         try:
             await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
         finally:
@@ -126,6 +130,17 @@
                     log.error("a task failed", error=repr(result), exc_info=result)
             log.info("ended", name=self.settings.name)
 
+    async def _rotate(self, keys: Keys, address: Address, every: float) -> None:
+        """New handshakes take new keys; the stream that is open goes on until its controller ends it."""
+        while True:
+            await asyncio.sleep(every)
+            said = keys.refresh()
+            if said:
+                log.error("new keys refused, the old ones stay", why=said)
+            elif said is not None:
+                await self.server.start(*address, keys.server)
+                log.info("new keys", generation=keys.generation)
+
     async def _ended(self) -> None:
         await self.over.wait()
 
@@ -240,7 +255,7 @@
             pass
         if view is not self.keeper.view:
             raise OSError("an order came in the meantime")
-        response = await ask_once(address, Request("PUT", target, request.headers, request.body), JOIN_TIMEOUT)
+        response = await self._ask(address, Request("PUT", target, request.headers, request.body), JOIN_TIMEOUT)
         if response.status != 200:
             wait = response.headers.get("retry-after", "")
             raise OSError(f"{response.status}{f', again in {wait} s' if wait else ''}")
@@ -264,6 +279,15 @@
         if self.writer is not None:
             self.writer.close()
 
+    async def _ask(self, address: Address, request: Request, seconds: float) -> Response:
+        """Asks a controller, and nobody who only holds its address. Raises Fault, OSError, TimeoutError."""
+        async with asyncio.timeout(seconds):
+            async with await Connection.open(*address, self.keys.client if self.keys else None) as connection:
+                peer = peer_of(connection.certificate)
+                if self.keys is not None and (peer is None or peer.role != "controller"):
+                    raise OSError(f"no controller's certificate, but one of {peer}")
+                return await connection.ask(request)
+
     # Sums
 
     async def _report(self, stats: Address) -> None:
@@ -289,7 +313,8 @@
             while unsent and self.controller is not None:
                 body = answer(200, unsent[0])
                 try:
-                    await ask_once(self.controller, Request("POST", target, body.headers, body.body), STATS_TIMEOUT)
+                    report = Request("POST", target, body.headers, body.body)
+                    await self._ask(self.controller, report, STATS_TIMEOUT)
                 except (OSError, Fault, TimeoutError):
                     break
                 unsent.pop(0)
--- a/onyxhead/cli/main.py
+++ b/onyxhead/cli/main.py
@@ -68,6 +68,7 @@
 def serve(settings: Path) -> None:
     """Run a controller."""
     from onyxhead.controller.daemon import Daemon
+    from onyxhead.keys.rotate import Unusable as BadKeys
     from onyxhead.store.store import Unusable
 
     known = read_settings(settings)
@@ -80,7 +81,7 @@
 
     try:
         asyncio.run(run())
-    except Unusable as error:
+    except (Unusable, BadKeys) as error:
         stop(REFUSED, error)
     except OSError as error:
         stop(REFUSED, f"{settings}: {error.strerror or error}")
@@ -91,6 +92,7 @@
 def agent(settings: Path) -> None:
     """Run the agent beside a proxy."""
     from onyxhead.agent.daemon import Daemon
+    from onyxhead.keys.rotate import Unusable as BadKeys
 
     known = read_settings(settings)
     if not isinstance(known, load.Agent):
@@ -102,6 +104,8 @@
 
     try:
         asyncio.run(run())
+    except BadKeys as error:
+        stop(REFUSED, f"{settings}: {error}")
     except OSError as error:
         stop(REFUSED, f"{settings}: {error.strerror or error}")
 
@@ -124,9 +128,10 @@
 @main.command()
 @click.argument("address")
 @click.option("--json", "as_json", is_flag=True, help="All that is known, as JSON.")
-def show(address: str, as_json: bool) -> None:
+@click.option("--as", "identity", type=EXISTING, help="FOLDER/NAME: with NAME.crt, NAME.key and authorities.pem there.")
+def show(address: str, as_json: bool, identity: Path | None) -> None:
     """Show what a controller or an agent knows."""
-    state = ask(address, "/v1/state")
+    state = ask(address, "/v1/state", identity)
     if as_json:
         click.echo(json.dumps(state, indent=2))
     elif "proxies" in state:
@@ -135,6 +140,87 @@
         show_rows(state["name"], [{"what": key, "value": _cell(value)} for key, value in state.items()])
 
 
+@main.group()
+def keys() -> None:
+    """A small private authority for the fleet's certificates."""
+
+
+def authority_in(folder: Path) -> Any:  # noqa: ANN401
+    from onyxhead.keys.authority import Authority
+
+    return Authority(folder)
+
+
+def carried(work: Any) -> Any:  # noqa: ANN401
+    """What the authority's work returns; ends the command with one line if it can't be done."""
+    from onyxhead.keys.authority import Unissued
+
+    try:
+        return work()
+    except (Unissued, OSError) as error:
+        stop(REFUSED, error)
+
+
+@keys.command("init")
+@click.argument("folder", type=EXISTING)
+@click.option("--name", default="onyxhead", show_default=True)
+@click.option("--days", default=3650, show_default=True)
+def keys_init(folder: Path, name: str, days: int) -> None:
+    """Make an authority in FOLDER, or replace it; the one before stays trusted until `keys forget`."""
+    carried(lambda: authority_in(folder).create(name, days))
+    click.echo(f"{folder}: authorities.pem, revoked.pem")
+
+
+@keys.command("issue")
+@click.argument("folder", type=EXISTING)
+@click.argument("name")
+@click.option("--role", type=click.Choice(["controller", "agent", "operator"]), required=True)
+@click.option("--host", "hosts", multiple=True, help="An address or name that it answers at.")
+@click.option("--days", default=90, show_default=True)
+def keys_issue(folder: Path, name: str, role: str, hosts: tuple[str, ...], days: int) -> None:
+    """Issue a key and a certificate to NAME."""
+    made = carried(lambda: authority_in(folder).issue(name, role, hosts, days))
+    click.echo(f"{name}: until {made.not_valid_after_utc.isoformat()}")
+
+
+@keys.command("renew")
+@click.argument("folder", type=EXISTING)
+@click.argument("name")
+@click.option("--days", default=90, show_default=True)
+def keys_renew(folder: Path, name: str, days: int) -> None:
+    """Issue a new key and certificate to NAME, like its last."""
+    made = carried(lambda: authority_in(folder).renew(name, days))
+    click.echo(f"{name}: until {made.not_valid_after_utc.isoformat()}")
+
+
+@keys.command("revoke")
+@click.argument("folder", type=EXISTING)
+@click.argument("name")
+def keys_revoke(folder: Path, name: str) -> None:
+    """Revoke all that was issued to NAME."""
+    count = carried(lambda: authority_in(folder).revoke(name))
+    click.echo(f"{name}: {count} revoked")
+
+
+@keys.command("forget")
+@click.argument("folder", type=EXISTING)
+def keys_forget(folder: Path) -> None:
+    """Trust only the newest authority from now on."""
+    carried(lambda: authority_in(folder).forget())
+
+
+@keys.command("show")
+@click.argument("folder", type=EXISTING)
+@click.option("--json", "as_json", is_flag=True)
+def keys_show(folder: Path, as_json: bool) -> None:
+    """List what was issued."""
+    rows = carried(lambda: authority_in(folder).issued())
+    if as_json:
+        click.echo(json.dumps(rows, indent=2))
+    else:
+        show_rows("certificates", rows)
+
+
 @main.group()
 def trial() -> None:
     """Play days live on loopback and judge them from recorded traffic."""
@@ -186,10 +272,20 @@
     sys.exit(REFUSED if broken(verdict) else 0)
 
 
-def ask(address: str, target: str) -> Any:  # noqa: ANN401
+def ask(address: str, target: str, identity: Path | None = None) -> Any:  # noqa: ANN401
     """The answer's value; ends the command if there is none."""
+    tls = None
+    if identity is not None:
+        from onyxhead.keys.rotate import Keys, Unusable
+
+        folder, name = identity.parent, identity.name
+        files = load.Tls(folder / f"{name}.crt", folder / f"{name}.key", folder / "authorities.pem", None, 1.0)
+        try:
+            tls = Keys(files).client
+        except Unusable as error:
+            stop(FAULTY, error)
     try:
-        response = asyncio.run(ask_once(address_parts(address), Request("GET", target), TIMEOUT))
+        response = asyncio.run(ask_once(address_parts(address), Request("GET", target), TIMEOUT, tls))
         if response.status != 200:
             stop(REFUSED, f"{address}: {response.status}")
         return response.json()
--- a/onyxhead/controller/daemon.py
+++ b/onyxhead/controller/daemon.py
@@ -9,7 +9,6 @@
 import contextlib
 import secrets
 import signal
-import ssl
 import time
 from collections.abc import AsyncIterator
 from typing import TYPE_CHECKING, Any, NamedTuple
@@ -26,6 +25,7 @@
 from onyxhead.fronts.files.push import Encoder, Refused, Stream
 from onyxhead.http.messages import Request, Response, answer, problem
 from onyxhead.http.server import Server
+from onyxhead.keys.rotate import Keys, Peer, peer_of
 from onyxhead.settings.load import Controller
 from onyxhead.store.store import Store
 from onyxhead.tables.orders import Message
@@ -51,6 +51,7 @@
     token: str
     task: asyncio.Task[None]
     orders: asyncio.Queue[tuple[Message, int]]
+    generation: int = 0
 
 
 class Daemon:
@@ -59,6 +60,7 @@
         self.clock = Clock(time.time, time.monotonic)
         self.store = Store(settings.state)
         known = self.store.remembered
+        self.keys = Keys(settings.tls) if settings.tls is not None else None
         self.raw: roster.Roster | None = None
         self.tree: Tree = {}
         self.desk: Desk | None = None
@@ -123,7 +125,8 @@
 
     async def run(self) -> None:
         """Serves until told to end. Raises OSError if the address can't be had."""
-        host, port = await self.server.start(*self.settings.listen)
+        tls = self.keys.server if self.keys is not None else None
+        host, port = await self.server.start(*self.settings.listen, tls)
         loop = asyncio.get_running_loop()
         for name in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(name, self.over.set)
@@ -132,8 +135,10 @@
             from onyxhead.fronts.netconf.server import Front
 
             self.front = Front(self.settings.netconf, self.desk)
-            await self.front.start(self.netconf_tls())
+            await self.front.start(tls)
             self._start(self._confirming(self.desk))
+        if self.keys is not None and self.settings.tls is not None:
+            self._start(self._rotate(self.keys, (host, port), self.settings.tls.every))
         self._start(self._follow())
         self._start(self._steps())
         try:
@@ -264,8 +269,33 @@
             desk.tick()
             await asyncio.sleep(TICK)
 
-    def netconf_tls(self) -> ssl.SSLContext | None:
-        return None
+    async def _rotate(self, keys: Keys, address: tuple[str, int], every: float) -> None:
+        """Follows the key files. New handshakes take the new keys at once; streams opened under older ones are ended
+        one by one, each when the channel has carried what the last one's join cost."""
+        while True:
+            await asyncio.sleep(every)
+            said = keys.refresh()
+            if said is None:
+                continue
+            if said:
+                log.error("new keys refused, the old ones stay", why=said)
+                continue
+            await self.server.start(*address, keys.server)
+            if self.front is not None:
+                await self.front.renew(keys.server)
+            log.info("new keys", generation=keys.generation, streams=len(self.lines))
+            for number, line in list(self.lines.items()):
+                if self.lines.get(number) is line and line.generation < keys.generation:
+                    line.task.cancel()
+                    self._gone(number, line.token, "its keys were replaced")
+                    await asyncio.sleep(self._join_time())
+                    while self.house.channel.waiting > self.house.channel.limits.most_waiting / 4:
+                        await asyncio.sleep(0.01)
+
+    def _join_time(self) -> float:
+        """Seconds that the channel takes for one proxy's full tables."""
+        limits, tables = self.house.channel.limits, self.house.books.tables.values()
+        return (limits.head + 2 + sum(len(lines) + 1 for lines in tables)) / limits.lines_per_s
 
     # Proxies
 
@@ -277,14 +307,17 @@
         assert me is not None
         number = -1
         try:
-            tag = await stream.open()
+            generation = self.keys.generation if self.keys is not None else 0
+            tag = await stream.open(self.keys.client if self.keys is not None else None)
+            if self.keys is not None and stream.peer != Peer("agent", who.name):
+                raise Refused(f"its certificate is of {stream.peer}")
             if tag != who.held.tag:
                 raise Refused("it holds another view than it said")
             if (old := self.lines.get(self.house.number(who.name))) is not None and old.token != token:
                 old.task.cancel()
             number = self.house.joins(self.clock.now(), who)
             orders: asyncio.Queue[tuple[Message, int]] = asyncio.Queue()
-            self.lines[number] = Line(token, me, orders)
+            self.lines[number] = Line(token, me, orders, generation)
             self.store.proxy(who.name, number, who.zone, tag, 0)
             log.info("joined", proxy=who.name, number=number, zone=who.zone, standing=who.standing)
             self.stir.set()
@@ -335,8 +368,10 @@
 
     # The controller's own interface
 
-    async def answer(self, request: Request, _writer: asyncio.StreamWriter) -> Response:
+    async def answer(self, request: Request, writer: asyncio.StreamWriter) -> Response:
         parts = request.target.split("?")[0].strip("/").split("/")
+        if self.keys is not None and not may_ask(request, parts, peer_of(writer.get_extra_info("peercert"))):
+            return problem(403, "this certificate may not ask that")
         match request.method, parts:
             case "GET", ["v1", "health"]:
                 return answer(200, {"name": self.settings.name, "epoch": self.house.epoch})
@@ -392,6 +427,13 @@
         return answer(200, {"taken": fresh})
 
 
+def may_ask(request: Request, parts: list[str], peer: Peer | None) -> bool:
+    """An agent speaks for itself only; operators and controllers may look."""
+    if parts[:2] == ["v1", "proxies"] and request.method != "GET":
+        return peer == Peer("agent", parts[2] if len(parts) > 2 else "")
+    return peer is not None and (request.method == "GET" or peer.role in ("operator", "controller"))
+
+
 def _told(decision: say.Decision) -> list[Any] | None:
     """A decision for logs and the journal; what only concerns the host is left out."""
     match decision:
--- a/onyxhead/fronts/files/push.py
+++ b/onyxhead/fronts/files/push.py
@@ -18,6 +18,7 @@
     content_digest,
     order_field,
 )
+from onyxhead.keys.rotate import Peer, peer_of
 from onyxhead.tables.orders import Message
 
 VIEW = "/v1/view"
@@ -61,8 +62,15 @@
                 self.connection = await Connection.open(*self.address, tls)
         except TimeoutError:
             raise OSError("no connection in time") from None
+        except ssl.CertificateError as error:
+            raise OSError(f"its certificate is refused: {error}") from None
         return await self.look()
 
+    @property
+    def peer(self) -> Peer | None:
+        """Who answers, by the certificate shown."""
+        return peer_of(self.connection.certificate) if self.connection is not None else None
+
     async def look(self) -> str:
         """The tag of the view that the agent holds; also tells it that the stream lives."""
         await self._send(Request("HEAD", VIEW, {STREAM: self.token}))
--- a/onyxhead/fronts/netconf/server.py
+++ b/onyxhead/fronts/netconf/server.py
@@ -63,9 +63,16 @@
             )  # fmt: skip
             log.info("netconf over ssh", port=self.ssh.get_port())
         if own.tls is not None and context is not None:
-            self.tls = await asyncio.start_server(self._tls, *own.tls, ssl=context)
+            self.tls = await asyncio.start_server(self._tls, *own.tls, ssl=context, reuse_port=True)
             log.info("netconf over tls", port=self.tls.sockets[0].getsockname()[1])
 
+    async def renew(self, context: ssl.SSLContext) -> None:
+        """New handshakes take other keys; sessions that are open go on."""
+        if self.tls is not None:
+            address = self.tls.sockets[0].getsockname()[:2]
+            before, self.tls = self.tls, await asyncio.start_server(self._tls, *address, ssl=context, reuse_port=True)
+            before.close()
+
     def close(self) -> None:
         for server in (self.ssh, self.tls):
             if server is not None:
--- a/onyxhead/http/client.py
+++ b/onyxhead/http/client.py
@@ -27,6 +27,11 @@
         reader, writer = await asyncio.open_connection(host, port, ssl=tls)
         return cls(reader, writer, f"{host}:{port}")
 
+    @property
+    def certificate(self) -> object:
+        """The certificate that the other side showed, as the ssl module tells it; None without TLS."""
+        return self.writer.get_extra_info("peercert")
+
     async def send(self, request: Request) -> None:
         """Writes the request and returns once the socket has taken it. Raises Fault, OSError."""
         if self.state.our_state is h11.DONE and self.state.their_state is h11.DONE:
--- a/onyxhead/http/server.py
+++ b/onyxhead/http/server.py
@@ -32,7 +32,13 @@
 
     async def start(self, host: str, port: int, tls: ssl.SSLContext | None = None) -> tuple[str, int]:
         """Listens, and returns the address it got. Raises OSError."""
-        self.listener = await asyncio.start_server(self._serve, host, port, ssl=tls, backlog=1024)
+        before, self.listener = (
+            self.listener,
+            await asyncio.start_server(self._serve, host, port, ssl=tls, backlog=1024, reuse_port=True),
+        )
+        if before is not None:
+            # Begun anew, with other keys: who connects meets one listener or the other, and open streams go on.
+            before.close()
         got = self.listener.sockets[0].getsockname()
         return str(got[0]), int(got[1])
 
--- a/onyxhead/settings/load.py
+++ b/onyxhead/settings/load.py
@@ -36,6 +36,16 @@
     at_once: int
 
 
+class Tls(NamedTuple):
+    """Files of keys; looked at for changes every so many seconds."""
+
+    certificate: Path
+    key: Path
+    authorities: Path
+    revoked: Path | None
+    every: float
+
+
 class Rule(NamedTuple):
     """One rule of access (RFC 8341): for data below a path or for an operation, or for all if neither is named."""
 
@@ -58,9 +68,6 @@
     ssh: Address | None
     host_key: Path | None
     tls: Address | None
-    certificate: Path | None
-    key: Path | None
-    authorities: Path | None
     users: dict[str, User]
     rules: tuple[Rule, ...]
 
@@ -83,6 +90,7 @@
     overrides: dict[str, tuple[float, bool]]
     prefixes: dict[str, str]
     netconf: Netconf | None
+    tls: Tls | None
 
 
 class Route(NamedTuple):
@@ -119,6 +127,7 @@
     most_body: int
     reload: Reload | None
     log: Log
+    tls: Tls | None = None
 
 
 @cache
@@ -242,6 +251,8 @@
     overrides = {name: (own.get("weight", 0.0), own["drained"]) for name, own in found["backends"].items()}
     prefixes = {name: group["prefix"] for name, group in found["groups"].items()}
     front = _netconf(found["netconf"], here, addresses) if "netconf" in found else None
+    if front is not None and front.tls is not None and "tls" not in found:
+        wrong("NETCONF over TLS needs keys: tls is missing", "netconf")
     if faults:
         raise Faulty(faults)
     return Controller(
@@ -249,10 +260,18 @@
         tuple(group.name for group in groups), zones, start, channel["patience"],
         Discovery(file, server, _seconds(given["every"])), _seconds(found["list_good_for"]),
         Probes(probes["path"], _seconds(probes["timeout"]), probes["at_once"]), Log(**found["log"]), overrides,
-        prefixes, front,
+        prefixes, front, _tls(found, here),
     )  # fmt: skip
 
 
+def _tls(found: Found, here: Path) -> Tls | None:
+    if (given := found.get("tls")) is None:
+        return None
+    revoked = here / given["revoked"] if "revoked" in given else None
+    every = _seconds(given["every"])
+    return Tls(here / given["certificate"], here / given["key"], here / given["authorities"], revoked, every)
+
+
 def _netconf(given: Found, here: Path, addresses: _Addresses) -> Netconf:
     rules = tuple(
         Rule(
@@ -262,17 +281,12 @@
         for each in given["rules"]
     )  # fmt: skip
     users = {name: User(tuple(own["keys"]), tuple(own["groups"])) for name, own in given["users"].items()}
-    places = [
-        here / given[name] if name in given else None for name in ("host_key", "certificate", "key", "authorities")
-    ]
+    host_key = here / given["host_key"] if "host_key" in given else None
     ssh = addresses.read(given["ssh"], "netconf", "ssh", free=True) if "ssh" in given else None
     tls = addresses.read(given["tls"], "netconf", "tls", free=True) if "tls" in given else None
-    if ssh is not None and places[0] is None:
+    if ssh is not None and host_key is None:
         addresses.faults.append(Fault(given.place("ssh"), "NETCONF over SSH needs a host_key"))
-    if tls is not None and None in places[1:]:
-        text = "NETCONF over TLS needs certificate, key and authorities"
-        addresses.faults.append(Fault(given.place("tls"), text))
-    return Netconf(ssh, places[0], tls, places[1], places[2], places[3], users, rules)
+    return Netconf(ssh, host_key, tls, users, rules)
 
 
 def agent(found: Found, path: Path) -> Agent:
@@ -302,4 +316,5 @@
         found["usual"], tuple(routes), found["stretch"], standing, stats, _seconds(found["silence"]),
         _seconds(found["redial"]), found["most_body"],
         Reload(here / reload["pid_file"], reload["signal"]) if reload else None, Log(**found["log"]),
+        _tls(found, here),
     )  # fmt: skip
--- /dev/null
+++ b/tests/test_keys.py
@@ -0,0 +1,232 @@
+"""The authority, contexts that follow their files, and streams while keys, authorities and revocations change."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+import ssl
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner
+from ncclient import manager
+
+from onyxhead.cli.main import main
+from onyxhead.http.client import Connection, ask_once
+from onyxhead.http.messages import Request
+from onyxhead.keys.authority import Authority, Unissued
+from onyxhead.keys.rotate import Keys, Peer, Unusable, peer_of
+from onyxhead.settings.load import Tls
+from tests.test_sockets import AGENT, Running, list_of, play, port_of, shown, until
+
+NOW = datetime.datetime.now(datetime.UTC)
+
+
+def files(folder: Path, name: str, revoked: bool = True) -> Tls:
+    crl = folder / "revoked.pem" if revoked else None
+    return Tls(folder / f"{name}.crt", folder / f"{name}.key", folder / "authorities.pem", crl, 0.05)
+
+
+@pytest.fixture
+def authority(tmp_path: Path) -> Authority:
+    own = Authority(tmp_path / "keys")
+    own.create("test")
+    own.issue("c1", "controller", ("127.0.0.1",))
+    own.issue("p1", "agent")
+    return own
+
+
+async def met(server: Keys, client: Keys) -> tuple[Peer | None, Peer | None]:
+    """Who each side sees of the other. Raises OSError where a handshake fails."""
+    seen: list[Peer | None] = []
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        seen.append(peer_of(writer.get_extra_info("peercert")))
+        writer.write(b"x")
+        writer.close()
+
+    listener = await asyncio.start_server(serve, "127.0.0.1", 0, ssl=server.server)
+    try:
+        connection = await Connection.open(*listener.sockets[0].getsockname()[:2], client.client)
+        # With TLS 1.3 a client learns that it was refused when it reads.
+        if await connection.reader.read(1) != b"x":
+            raise OSError("refused")
+        other = peer_of(connection.certificate)
+        connection.close()
+        return seen[0], other
+    finally:
+        listener.close()
+
+
+def test_both_sides_know_each_other_by_role_and_name(authority: Authority) -> None:
+    server, client = (Keys(files(authority.folder, name)) for name in ("c1", "p1"))
+    assert asyncio.run(met(server, client)) == (Peer("agent", "p1"), Peer("controller", "c1"))
+
+
+def test_a_revoked_and_an_expired_peer_and_a_strangers_are_refused(authority: Authority, tmp_path: Path) -> None:
+    authority.issue("late", "agent", days=90)
+    late = Keys(files(authority.folder, "late"))
+    assert authority.revoke("late") == 1 and authority.revoke("late") == 0
+    stranger = Authority(tmp_path / "other")
+    stranger.create("other")
+    stranger.issue("p1", "agent")
+    foreign = Keys(files(stranger.folder, "p1"))
+    server = Keys(files(authority.folder, "c1"))
+    for client in (late, foreign):
+        with pytest.raises((OSError, ssl.SSLError)):
+            asyncio.run(met(server, client))
+    Authority(authority.folder, NOW - datetime.timedelta(days=30)).issue("old", "agent", days=10)
+    with pytest.raises(Unusable, match="expired"):
+        Keys(files(authority.folder, "old"))
+
+
+@pytest.mark.parametrize("what", ["other key", "half a key", "no file", "stranger", "not a certificate"])
+def test_bad_new_keys_are_refused_with_the_reason_and_the_old_ones_stay(
+    what: str, authority: Authority, tmp_path: Path
+) -> None:
+    folder = authority.folder
+    server, client = Keys(files(folder, "c1")), Keys(files(folder, "p1"))
+    good = {name: (folder / name).read_bytes() for name in ("c1.crt", "c1.key")}
+    match what:
+        case "other key":
+            (folder / "c1.key").write_bytes((folder / "p1.key").read_bytes())
+        case "half a key":
+            (folder / "c1.key").write_bytes(good["c1.key"][:90])
+        case "no file":
+            (folder / "c1.crt").unlink()
+        case "stranger":
+            other = Authority(tmp_path / "other")
+            other.create("other")
+            other.issue("c1", "controller")
+            for name in good:
+                (folder / name).write_bytes((other.folder / name).read_bytes())
+        case _:
+            (folder / "c1.crt").write_bytes(b"x")
+    assert server.refresh() and server.generation == 0 and server.refresh() is None
+    assert asyncio.run(met(server, client))[0] == Peer("agent", "p1")
+    for name, body in good.items():
+        (folder / name).write_bytes(body)
+    assert server.refresh() == "" and server.generation == 1
+
+
+def test_the_authority_itself_is_replaced_with_both_trusted_for_a_while(authority: Authority) -> None:
+    folder = authority.folder
+    server, client = Keys(files(folder, "c1")), Keys(files(folder, "p1"))
+    authority.create("test")
+    assert server.refresh() == "" == client.refresh()
+    authority.renew("c1")
+    assert server.refresh() == ""
+    assert asyncio.run(met(server, client)) == (Peer("agent", "p1"), Peer("controller", "c1"))
+    authority.renew("p1")
+    assert client.refresh() == ""
+    authority.forget()
+    assert server.refresh() == "" == client.refresh()
+    assert asyncio.run(met(server, client))[0] == Peer("agent", "p1")
+
+
+def test_what_the_authority_can_not_do_is_said(tmp_path: Path, authority: Authority) -> None:
+    for work in (
+        lambda: authority.issue("a/b", "agent"), lambda: authority.issue("x", "king"), lambda: authority.renew("none"),
+        lambda: authority.revoke("none"), lambda: Authority(tmp_path / "nowhere").issue("x", "agent"),
+    ):  # fmt: skip
+        with pytest.raises(Unissued):
+            work()
+    assert (authority.folder / "c1.key").stat().st_mode & 0o077 == 0
+
+
+def test_the_keys_command(tmp_path: Path) -> None:
+    def run(*words: str) -> tuple[int, str]:
+        done = CliRunner().invoke(main, ["keys", words[0], str(tmp_path / "k"), *words[1:]])
+        return done.exit_code, done.output
+
+    assert run("issue", "x", "--role", "agent")[0] == 1
+    assert run("init")[0] == 0 and run("issue", "x", "--role", "agent")[0] == 0
+    assert run("renew", "x")[0] == 0 and run("revoke", "x") == (0, "x: 2 revoked\n")
+    assert '"revoked": true' in run("show", "--json")[1]
+
+
+# Daemons
+
+
+TLS = 'tls: {certificate: "keys/%s.crt", key: "keys/%s.key", authorities: "keys/authorities.pem", revoked: "keys/revoked.pem", every: 50ms}\n'
+
+
+def test_keys_change_in_service_with_no_order_lost_and_revoked_agents_are_kept_out(
+    tmp_path: Path, authority: Authority
+) -> None:
+    async def work(running: Running) -> None:
+        running.more = TLS % ("c1", "c1")
+        authority.issue("p2", "agent")
+        controller = await running.controller()
+        import tests.test_sockets as sockets
+
+        for name in ("p1", "p2"):
+            sockets.AGENT = AGENT + (TLS % (name, name)).replace("%", "%%")
+            await running.agent(name, port_of(controller))
+        sockets.AGENT = AGENT
+        await until(lambda: all(len(shown(tmp_path, name)) == 3 for name in ("p1", "p2")))
+        before = {line.token for line in controller.lines.values()}
+        for name in ("c1", "p1", "p2"):
+            authority.renew(name)
+        backends = [{"id": f"b{n}", "address": f"127.0.0.1:{9000 + n}", "zone": "north"} for n in (1, 2)]
+        list_of(tmp_path, 2, backends)
+        await until(lambda: all(shown(tmp_path, name) == {9001, 9002} for name in ("p1", "p2")))
+        assert controller.keys is not None
+        await until(lambda: not before & {line.token for line in controller.lines.values()} and len(controller.lines) == 2)
+        assert controller.house.counts["faults"] == 0
+        authority.revoke("p2")
+        await until(lambda: len(controller.lines) == 1, 10.0)
+        await asyncio.sleep(0.5)
+        assert {known.name for known in controller.house.joined.values()} == {"p1"}
+        assert shown(tmp_path, "p2") == {9001, 9002}
+
+    play(tmp_path, work)
+
+
+def test_a_certificate_speaks_for_its_own_name_and_plain_connections_for_none(tmp_path: Path, authority: Authority) -> None:
+    async def work(running: Running) -> None:
+        running.more = TLS % ("c1", "c1")
+        controller = await running.controller()
+        own = Keys(files(authority.folder, "p1")).client
+        address = ("127.0.0.1", port_of(controller))
+        assert (await ask_once(address, Request("PUT", "/v1/proxies/p2", {}, b"{}"), 2.0, own)).status == 403
+        assert (await ask_once(address, Request("PUT", "/v1/proxies/p1", {}, b"{}"), 2.0, own)).status == 400
+        assert (await ask_once(address, Request("GET", "/v1/state"), 2.0, own)).status == 200
+        with pytest.raises(Exception):  # noqa: B017  # whatever the handshake makes of it
+            await ask_once(address, Request("GET", "/v1/state"), 2.0)
+
+    play(tmp_path, work)
+
+
+def test_netconf_over_tls_knows_the_user_by_certificate(tmp_path: Path, authority: Authority) -> None:
+    authority.issue("olga", "operator")
+    folder = authority.folder
+    rule = 'rules: [{name: "all", groups: ["ops"], action: "permit"}]'
+
+    def connect(port: int, name: str) -> Any:
+        return manager.connect_tls(
+            host="127.0.0.1", port=port, keyfile=str(folder / f"{name}.key"), certfile=str(folder / f"{name}.crt"),
+            ca_certs=str(folder / "authorities.pem"), server_hostname="c1", timeout=5,
+            protocol=ssl.PROTOCOL_TLS_CLIENT,
+        )  # fmt: skip
+
+    async def work(running: Running) -> None:
+        users = '{olga: {groups: ["ops"]}}'
+        running.more = TLS % ("c1", "c1") + f'netconf: {{tls: "127.0.0.1:0", users: {users}, {rule}}}\n'
+        controller = await running.controller()
+        await until(lambda: controller.front and controller.front.tls)
+        port = controller.front.tls.sockets[0].getsockname()[1]  # type: ignore[union-attr]
+        m = await asyncio.to_thread(connect, port, "olga")
+        told = await asyncio.to_thread(m.get_config, "running")
+        assert "drain-grace" in told.xml
+        authority.renew("c1")
+        await until(lambda: controller.keys and controller.keys.generation == 1)
+        assert "drain-grace" in (await asyncio.to_thread(m.get_config, "running")).xml
+        again = await asyncio.to_thread(connect, port, "olga")
+        for session in (m, again):
+            await asyncio.to_thread(session.close_session)
+        with pytest.raises(Exception):  # noqa: B017  # the client's own kind of closed session
+            await asyncio.to_thread(connect, port, "p1")
+
+    play(tmp_path, work)
--- a/tests/test_netconf.py
+++ b/tests/test_netconf.py
@@ -478,6 +478,35 @@
     assert own.locks == {} and own.candidate == own.running == TREE
 
 
+def test_two_hundred_idle_sessions_and_a_reader_that_takes_nothing_hold_nobody_up() -> None:
+    from onyxhead.fronts.netconf.server import _Unsent
+
+    session, sent = greeted()
+    desk, closed = session.desk, list[bool]()
+    idle = [Session(desk, "u", lambda _: None, lambda: None) for _ in range(200)]
+
+    class Stuck:
+        def __init__(self) -> None:
+            self.channel, self.size = self, 0
+
+        def get_write_buffer_size(self) -> int:
+            return self.size
+
+        def write(self, data: bytes) -> None:
+            self.size += len(data)
+
+    stuck = Stuck()
+    slow = Session(desk, "u", _Unsent(stuck, lambda: closed.append(True)).write, lambda: None)  # type: ignore[arg-type]
+    for each in (session, slow):
+        each.greeted, each.stream = True, (0.0, float("inf"))
+        desk.listeners[each.number] = each.notified
+    sent.clear()
+    for turn in range(60):
+        desk.tell("orders-sent", {"turn": turn, "cause": ["x" * 100_000]})
+    assert closed and stuck.size < 5 * 1024 * 1024 and len(sent) == 60
+    assert len({each.number for each in idle}) == 200 and "<ok/>" in rpc(session, sent, "<discard-changes/>")
+
+
 # Whole: a client library, SSH, the controller, the push, the swapped file
 
 RULES = """
