--- a/benchmarks/commits.py
+++ b/benchmarks/commits.py
@@ -15,8 +15,6 @@
     'netconf: {ssh: "127.0.0.1:0", host_key: "host", users: {}, '
     'rules: [{name: "a", groups: ["*"], action: "permit"}]}'
 )
-    'netconf: {ssh: "127.0.0.1:0", host_key: "host", users: {}, rules: [{name: "a", groups: ["*"], action: "permit"}]}'
-)
 
 
 def measure(args: list[str]) -> dict[str, Any]:
