--- a/onyxhead/agent/daemon.py
+++ b/onyxhead/agent/daemon.py
@@ -18,6 +18,8 @@
 from onyxhead.agent import counters
 from onyxhead.agent.keeper import Keeper, Taken, Torn, read_state, state_of
 from onyxhead.agent.swap import NotSwapped, clear, swap
+from onyxhead.fleet.dial import Dialer
+from onyxhead.fleet.fence import Fenced
 from onyxhead.fronts.files import envoy, nginx
 from onyxhead.fronts.files.push import VIEW
 from onyxhead.http.client import Connection, ask_once
@@ -35,6 +37,14 @@
 log = structlog.get_logger()
 
 
+class SentOn(Exception):
+    """The controller that was asked, `name`, knows a better one, `to`."""
+
+    def __init__(self, name: str, to: str) -> None:
+        super().__init__(f"{name} sends on to {to}")
+        self.name, self.to = name, to
+
+
 class Tree:
     """The proxy's files and the agent's state on disk."""
 
@@ -47,8 +57,8 @@
             if left := clear(folder):
                 log.info("cleared what a killed swap left", files=left)
 
-    def load(self) -> View | None:
-        """The last whole state; None where there is none that can be used."""
+    def load(self) -> tuple[View, int] | None:
+        """The last whole view and token; None where there is none that can be used."""
         try:
             return read_state(self.state.read_bytes())
         except FileNotFoundError:
@@ -68,10 +78,14 @@
         made |= {f"location-{route.group}.conf": nginx.location(view, route) for route in own.routes}
         return [(own.files / name, body) for name, body in made.items()]
 
-    def put(self, view: View) -> None:
+    def keep(self, view: View, token: int) -> None:
+        """Puts the state alone on disk. Raises OSError."""
+        swap([(self.state, state_of(view, token))])
+
+    def put(self, view: View, token: int = 0) -> None:
         """Swaps the state and all files that differ. Raises NotSwapped, OSError."""
         files = [(path, body) for path, body in self.files(view) if _content(self.shown.get(path)) != _content(body)]
-        swap([(self.state, state_of(view)), *files])
+        swap([(self.state, state_of(view, token)), *files])
         self.shown.update(files)
 
 
@@ -91,11 +105,11 @@
         self.keys = Keys(settings.tls) if settings.tls is not None else None
         standing = View.of({("standing", name): line for name, line in settings.standing.items()})
         held = self.tree.load()
-        self.keeper = Keeper(standing if held is None else held)
+        self.keeper = Keeper(standing, 0) if held is None else Keeper(*held)
         self.boot = secrets.token_hex(6)
         self.chance = random.Random(self.boot)
         self.server = Server(self.answer, settings.most_body, closed=self._closed)
-        self.turn = asyncio.Lock()
+        self.turn, self.joining = asyncio.Lock(), asyncio.Lock()
         self.lost = asyncio.Event()
         self.over = asyncio.Event()
         self.heard = 0.0
@@ -107,7 +121,7 @@
     async def run(self) -> None:
         """Serves until told to end. Raises OSError if the address or the folders can't be had."""
         # A crash may have come between the state and the files; they are made again from the state.
-        await asyncio.to_thread(self.tree.put, self.keeper.view)
+        await asyncio.to_thread(self.tree.put, self.keeper.view, self.keeper.fence.held)
         host, port = await self.server.start(*self.settings.listen, self.keys.server if self.keys else None)
         self.push = self.settings.advertise or (host, port)
         loop = asyncio.get_running_loop()
@@ -147,11 +161,21 @@
     # Orders
 
     async def answer(self, request: Request, writer: asyncio.StreamWriter) -> Response:
+        if self.keys is not None:
+            peer = peer_of(writer.get_extra_info("peercert"))
+            # Only a controller may order; who else holds a certificate of the fleet may look.
+            if peer is None or (STREAM in request.headers and peer.role != "controller"):
+                return problem(403, "this certificate may not ask that")
+        if STREAM in request.headers and request.headers[STREAM] != self.keeper.stream:
+            async with self.joining:
+                pass
         match request.method, request.target:
             case (("HEAD" | "GET"), "/v1/view"):
                 if STREAM in request.headers:
                     if not self._own(request, writer):
                         return problem(409, "another stream is listened to")
+                    if (refused := self.keeper.fenced(request)) is not None:
+                        return refused
                     return self.keeper.shown()
                 return answer(200, self.keeper.view.document(), etag=self.keeper.view.tag)
             case (("PUT" | "PATCH"), target) if target == VIEW:
@@ -177,7 +201,7 @@
             log.warning("order refused", status=taken.status, method=request.method)
             return taken
         try:
-            await asyncio.to_thread(self.tree.put, taken.view)
+            await asyncio.to_thread(self.tree.put, taken.view, self.keeper.fence.held)
         except OSError as error:
             log.error("not swapped", why=str(error))
             full = error.errno in (errno.ENOSPC, errno.EDQUOT)
@@ -221,31 +245,39 @@
             self.lost.set()
 
     async def _stay_joined(self) -> None:
-        place = 0
+        dialer = Dialer(len(self.settings.controllers))
         while True:
-            address = self.settings.controllers[place % len(self.settings.controllers)]
-            wait = self.settings.redial * self.chance.uniform(0.5, 1.5)
+            dial = dialer.next()
+            await asyncio.sleep(dial.pause * self.settings.redial * self.chance.uniform(0.5, 1.5))
+            address = self.settings.controllers[dial.place]
             try:
-                told = await self._join(address)
-            except (OSError, Fault, TimeoutError, ValueError, KeyError) as error:
+                # What a stream brings waits until it is known which one holds: it may be quicker than the disk.
+                async with self.joining:
+                    told = await self._join(address, dial.insist)
+            except SentOn as better:
+                dialer.sent_on(better.name, better.to)
+            except (OSError, Fault, Fenced, TimeoutError, ValueError, KeyError) as error:
                 log.info("not joined", controller=address, why=str(error) or type(error).__name__)
-                place += 1
+                dialer.failed()
             else:
+                dialer.taken(told)
                 self.controller = address
-                log.info("joined", controller=address, stream=told)
+                log.info("joined", controller=told, token=self.keeper.fence.held)
                 await self._until_lost()
-                log.info("stream lost", controller=address)
+                log.info("stream lost", controller=told)
                 self.controller = None
-                # The nearest controller is tried first again, since it may be back.
-                place = 0 if place or self.heard else 1
-            await asyncio.sleep(wait)
+                dialer.lost()
+                await asyncio.sleep(self.settings.redial * self.chance.uniform(0.2, 1.0))
 
-    async def _join(self, address: Address) -> str:
+    async def _join(self, address: Address, insist: bool) -> str:
+        """The name of the controller that took it. Raises SentOn, Fenced, OSError and what else may fail."""
         view = self.keeper.view
         body = {
             "zone": self.settings.zone, "usual": self.settings.usual,
             "standing": not any(path[0] == "bindings" for path in view.leaves),
             "held": view.document(), "push": "{}:{}".format(*self.push),
+            "token": self.keeper.fence.held, "insist": insist,
+            "silence": self.settings.silence,
         }  # fmt: skip
         request = answer(200, body)
         target = f"/v1/proxies/{self.settings.name}"
@@ -256,15 +288,20 @@
         if view is not self.keeper.view:
             raise OSError("an order came in the meantime")
         response = await self._ask(address, Request("PUT", target, request.headers, request.body), JOIN_TIMEOUT)
+        if response.status == 307:
+            raise SentOn(str(response.json()["controller"]), str(response.json()["better"]))
         if response.status != 200:
             wait = response.headers.get("retry-after", "")
             raise OSError(f"{response.status}{f', again in {wait} s' if wait else ''}")
         told = response.json()
         stream, self.report_every = str(told["stream"]), float(told["report_every"])
+        # On disk before it counts: an older controller must be refused also after a restart.
+        self.keeper.fence.raise_to(told["token"])
+        await asyncio.to_thread(self.tree.keep, view, told["token"])
         self.lost.clear()
         self.heard, self.writer = time.monotonic(), None
         self.keeper.listen_to(stream)
-        return stream
+        return str(told["controller"])
 
     async def _until_lost(self) -> None:
         """Until the stream's connection ends, or nothing has come on it for too long."""
--- a/onyxhead/agent/keeper.py
+++ b/onyxhead/agent/keeper.py
@@ -5,11 +5,13 @@
 import json
 from typing import NamedTuple
 
+from onyxhead.fleet.fence import Fence, Fenced
 from onyxhead.http.messages import (
     JSON,
     MERGE_PATCH,
     ORDER,
     STREAM,
+    TOKEN,
     Request,
     Response,
     digest_fits,
@@ -33,8 +35,8 @@
 class Keeper:
     """The agent's memory. `view` is what the proxy's files say, or are about to say after a crash."""
 
-    def __init__(self, view: View) -> None:
-        self.view = view
+    def __init__(self, view: View, token: int = 0) -> None:
+        self.view, self.fence = view, Fence(token)
         self.stream = ""
         self.turn = 0
 
@@ -47,6 +49,8 @@
         own = request.headers.get(STREAM, "")
         if not self.stream or own != self.stream:
             return problem(409, "another stream is listened to")
+        if (refused := self.fenced(request)) is not None:
+            return refused
         if request.method not in ("PUT", "PATCH"):
             return problem(405, f"{request.method} is not taken here")
         if (told := request.headers.get("content-digest")) is None or not digest_fits(told, request.body):
@@ -70,6 +74,16 @@
             return problem(400, f"not JSON: {error}")
         return Taken(view, read_order(request.headers.get(ORDER, "")).get("turn", 0))
 
+    def fenced(self, request: Request) -> Response | None:
+        """The refusal of an order under a token that does not hold; it tells the one that does."""
+        told = request.headers.get(TOKEN, "0")
+        try:
+            self.fence.check(int(told) if told.isascii() and told.isdigit() else -1)
+        except Fenced as error:
+            refused = problem(409, str(error))
+            return refused._replace(headers=refused.headers | {TOKEN: str(error.held)})
+        return None
+
     def applied(self, taken: Taken) -> Response:
         """The swap is done; this answers the order."""
         self.view, self.turn = taken.view, taken.turn
@@ -80,20 +94,21 @@
 
     def state(self) -> bytes:
         """What goes on disk before the proxy's files are swapped."""
-        return state_of(self.view)
+        return state_of(self.view, self.fence.held)
 
 
-def state_of(view: View) -> bytes:
-    return json.dumps({"tag": view.tag, "view": view.document()}, separators=(",", ":")).encode() + b"\n"
+def state_of(view: View, token: int = 0) -> bytes:
+    state = {"tag": view.tag, "token": token, "view": view.document()}
+    return json.dumps(state, separators=(",", ":")).encode() + b"\n"
 
 
-def read_state(body: bytes) -> View:
-    """The view in a state file. Raises Torn for one that is not whole: it is never used in part."""
+def read_state(body: bytes) -> tuple[View, int]:
+    """View and fencing token of a state file. Raises Torn for one that is not whole: it is never used in part."""
     try:
         given = json.loads(body)
-        view = View.read(given["view"])
-        if given["tag"] != view.tag:
+        view, token = View.read(given["view"]), given.get("token", 0)
+        if given["tag"] != view.tag or type(token) is not int or token < 0:
             raise Torn("its tag does not fit its content")
     except (ValueError, KeyError, TypeError, RecursionError) as error:
         raise Torn(str(error)) from None
-    return view
+    return view, token
--- a/onyxhead/cli/main.py
+++ b/onyxhead/cli/main.py
@@ -140,6 +140,62 @@
         show_rows(state["name"], [{"what": key, "value": _cell(value)} for key, value in state.items()])
 
 
+@main.group()
+def fleet() -> None:
+    """Controllers that share the proxies."""
+
+
+IDENTITY = click.option("--as", "identity", type=EXISTING, help="FOLDER/NAME of the certificate to show.")
+
+
+@fleet.command()
+@click.argument("address")
+@click.option("--json", "as_json", is_flag=True)
+@IDENTITY
+def status(address: str, as_json: bool, identity: Path | None) -> None:
+    """What the controller at ADDRESS knows of its fellows; what it does not know is shown as -."""
+    state = ask(address, "/v1/fleet", identity)
+    if as_json:
+        click.echo(json.dumps(state, indent=2))
+        return
+    if state["twins"]:
+        click.echo(f"another controller calls itself {state['own']}", err=True)
+    rows = [{"member": name} | own for name, own in state["members"].items()]
+    show_rows("members", [{key: "-" if value is None else value for key, value in row.items()} for row in rows])
+
+
+@fleet.command()
+@click.argument("proxy")
+@click.argument("address")
+@IDENTITY
+def who(proxy: str, address: str, identity: Path | None) -> None:
+    """Which controller serves PROXY, as far as the one at ADDRESS knows."""
+    told = ask(address, "/v1/fleet/who", identity, {"proxy": proxy})
+    if told["served_by"] is None:
+        stop(UNKNOWN, f"{proxy}: not known")
+    click.echo(f"{proxy}: {told['served_by']}")
+
+
+@fleet.command()
+@click.argument("proxy")
+@click.argument("to")
+@click.argument("address")
+@IDENTITY
+def move(proxy: str, to: str, address: str, identity: Path | None) -> None:
+    """Have the controller at ADDRESS, which serves PROXY, hand it over to TO."""
+    told = ask(address, "/v1/fleet/move", identity, {"proxy": proxy, "to": to})
+    click.echo(f"{proxy}: to {to}" + ("" if told["here"] else " once it joins here"))
+
+
+@main.command()
+@click.argument("address")
+@IDENTITY
+def handover(address: str, identity: Path | None) -> None:
+    """Have the controller at ADDRESS hand over all its proxies, one by one, before it is ended."""
+    told = ask(address, "/v1/fleet/handover", identity, {})
+    click.echo(f"{told['proxies']} proxies are being handed over")
+
+
 @main.group()
 def keys() -> None:
     """A small private authority for the fleet's certificates."""
@@ -246,6 +302,7 @@
 @click.option("--controllers", default=2, show_default=True, type=click.IntRange(1, 6))
 @click.option("--rate", default=120.0, show_default=True, help="Flows a second.")
 @click.option("--keep", type=EXISTING, help="A folder for records, settings and logs.")
+@click.option("--apart", is_flag=True, help="Controllers that do not share the fleet.")
 def run(
     name: str,
     as_json: bool,
@@ -256,12 +313,13 @@
     controllers: int,
     rate: float,
     keep: Path | None,
+    apart: bool,
 ) -> None:
     """Play the day NAME. Exits with 0 only if no rule broke and no reader saw a mixture."""
     from onyxhead.trial.run import Size, broken, play
 
     try:
-        verdict = play(name, seed, seconds, Size(controllers, proxies, backends, rate), keep)
+        verdict = play(name, seed, seconds, Size(controllers, proxies, backends, rate, not apart), keep)
     except KeyError as error:
         stop(FAULTY, f"there is no day or trouble {error}")
     if as_json:
@@ -272,7 +330,7 @@
     sys.exit(REFUSED if broken(verdict) else 0)
 
 
-def ask(address: str, target: str, identity: Path | None = None) -> Any:  # noqa: ANN401
+def ask(address: str, target: str, identity: Path | None = None, given: object = None) -> Any:  # noqa: ANN401
     """The answer's value; ends the command if there is none."""
     tls = None
     if identity is not None:
@@ -285,9 +343,10 @@
         except Unusable as error:
             stop(FAULTY, error)
     try:
-        response = asyncio.run(ask_once(address_parts(address), Request("GET", target), TIMEOUT, tls))
+        request = Request("GET", target) if given is None else Request("POST", target, {}, json.dumps(given).encode())
+        response = asyncio.run(ask_once(address_parts(address), request, TIMEOUT, tls))
         if response.status != 200:
-            stop(REFUSED, f"{address}: {response.status}")
+            stop(REFUSED, f"{address}: {response.status} {response.body.decode(errors='replace').strip()}")
         return response.json()
     except Malformed as error:
         stop(FAULTY, error)
--- /dev/null
+++ b/onyxhead/controller/alliance.py
@@ -0,0 +1,143 @@
+"""Carries a controller's part in a shared fleet: packets over HTTP, news beside them, hand-overs at a pace."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import time
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+import structlog
+
+from onyxhead.fleet.coalition import Coalition, News
+from onyxhead.fleet.membership import Membership, Odd, Packet, read
+from onyxhead.fleet.serving import Member
+from onyxhead.http.client import ask_once
+from onyxhead.http.messages import Fault, Request, Response, answer, problem
+from onyxhead.settings.load import Fleet
+
+if TYPE_CHECKING:
+    from onyxhead.controller.daemon import Daemon
+
+PATH = "/v1/fleet"
+TENTHS = 10_000
+log = structlog.get_logger()
+
+
+class Alliance:
+    def __init__(self, daemon: Daemon, settings: Fleet) -> None:
+        self.daemon, self.settings = daemon, settings
+        now = daemon.clock.now()
+        # A later start must win over an earlier one of the same name, also on an empty or a restored disk.
+        boot = f"{int(time.time() * 1000):015d}.{secrets.token_hex(3)}"
+        membership = Membership(
+            daemon.settings.name, boot, tuple(settings.members), Random(boot), now,
+            settings.period, settings.timeout, settings.suspicion,
+        )  # fmt: skip
+        members = {name: Member(name, each.zone, each.pace) for name, each in settings.members.items()}
+        self.coalition = Coalition(membership, members, now, settings.settle)
+        self.odd: set[str] = set()
+
+    def own(self) -> dict[str, str]:
+        house = self.daemon.house
+        return {known.name: house.zones[known.zone] for known in house.joined.values()}
+
+    def better(self, proxy: str, zone: str) -> str | None:
+        return self.coalition.better(proxy, zone, self.own(), self.daemon.clock.now())
+
+    # Carrying
+
+    async def run(self) -> None:
+        while True:
+            now = self.daemon.clock.now()
+            for packet in self.coalition.membership.tick(now):
+                self.daemon.start(self._send(packet))
+            for said in self.coalition.look(now):
+                log.info("fleet", said=said, alive=self.coalition.seen)
+                self._renew(now)
+            if (move := self.coalition.move(self.own(), now, round(2 * self.daemon.join_time() * TENTHS))) is not None:
+                proxy, to = move
+                log.info("handed over", proxy=proxy, to=to)
+                self.daemon.end_stream(proxy, f"handed over to {to}")
+            await asyncio.sleep(self.settings.timeout / TENTHS / 2)
+
+    def _renew(self, now: int) -> None:
+        """What members kept withdrawn and no list names any more is kept withdrawn here too."""
+        grace = self.daemon.house.start.guards.drain_grace
+        self.daemon.house.withdrawn_before(now, sorted(self.coalition.withdrawn_elsewhere(now, 10 * grace)))
+
+    async def _send(self, packet: Packet) -> None:
+        member = self.settings.members.get(packet.to)
+        if member is None:
+            return
+        keys = self.daemon.keys
+        request = answer(200, {"packet": packet.plain(), "news": self._news()})
+        seconds = 2 * self.settings.timeout / TENTHS
+        try:
+            told = await ask_once(
+                member.address, Request("POST", PATH, request.headers, request.body), seconds,
+                keys.client if keys is not None else None,
+            )  # fmt: skip
+            given = told.json()
+            self._take(given["packets"], given.get("news"), packet.to)
+        except (OSError, Fault, TimeoutError, ValueError, KeyError, TypeError):
+            return
+
+    def _take(self, packets: list[Any], news: Any, sender: str) -> list[Packet]:  # noqa: ANN401
+        now = self.daemon.clock.now()
+        replies = []
+        for each in packets:
+            replies += self.coalition.membership.receive(read(each), now)
+        if isinstance(news, dict):
+            proxies = {str(name): str(zone) for name, zone in dict(news.get("proxies", {})).items()}
+            withdrawn = tuple(map(str, news.get("withdrawn", ())))
+            self.coalition.told(sender, News(proxies, withdrawn, int(news.get("list") or 0), now))
+        return replies
+
+    def heard(self, request: Request) -> Response:
+        """Another member's packet. The answer carries what goes back to it; the rest is sent."""
+        try:
+            given = request.json()
+            sender = str(given["packet"]["sender"])
+            replies = self._take([given["packet"]], given.get("news"), sender)
+        except Odd as error:
+            if str(error) not in self.odd and len(self.odd) < 100:
+                self.odd.add(str(error))
+                log.warning("fleet", refused=str(error))
+            return problem(422, str(error))
+        except (ValueError, KeyError, TypeError) as error:
+            return problem(400, f"not a packet: {error}")
+        back = [packet for packet in replies if packet.to == sender]
+        for packet in replies:
+            if packet.to != sender:
+                self.daemon.start(self._send(packet))
+        return answer(200, {"packets": [packet.plain() for packet in back], "news": self._news()})
+
+    def _news(self) -> dict[str, Any]:
+        last = self.daemon.follower.last
+        house = self.daemon.house
+        return {"proxies": self.own(), "withdrawn": sorted(house.books.withdrawn), "list": last.version if last else 0}
+
+    # What operators ask
+
+    def command(self, what: str, given: Any) -> Response:  # noqa: ANN401
+        coalition, now = self.coalition, self.daemon.clock.now()
+        if what == "handover":
+            coalition.membership.leave()
+            log.info("fleet", said="leaving: all proxies are handed over")
+            return answer(200, {"proxies": len(self.own())})
+        if what == "move":
+            proxy, to = str(given.get("proxy")), str(given.get("to"))
+            if to not in coalition.serving():
+                return problem(409, f"{to} is not known to serve now")
+            coalition.pinned[proxy] = to
+            return answer(200, {"proxy": proxy, "to": to, "here": proxy in self.own()})
+        if what == "who":
+            proxy = str(given.get("proxy"))
+            # A member that is gone serves nobody, whatever it said last; of the others the newest word counts.
+            heard = sorted(coalition.news.items(), key=lambda item: -item[1].at)
+            told: list[str | None] = [n for n, news in heard if n in coalition.seen and proxy in news.proxies]
+            found = coalition.own if proxy in self.own() else (told or [None])[0]
+            return answer(200, {"proxy": proxy, "served_by": found})
+        return answer(200, coalition.state(now))
--- a/onyxhead/controller/daemon.py
+++ b/onyxhead/controller/daemon.py
@@ -17,11 +17,13 @@
 
 import onyxhead.interface as say
 from onyxhead.controller import discovery, roster, sums
+from onyxhead.controller.alliance import Alliance
 from onyxhead.controller.clock import Clock
 from onyxhead.controller.configuration.tree import Tree
 from onyxhead.controller.configuration.views import deployment, overlaid
 from onyxhead.controller.house import House, Joining, Work
 from onyxhead.controller.probe import look
+from onyxhead.fleet.fence import Fenced, next_token
 from onyxhead.fronts.files.push import Encoder, Refused, Stream
 from onyxhead.http.messages import Request, Response, answer, problem
 from onyxhead.http.server import Server
@@ -83,6 +85,7 @@
         self.server = Server(self.answer)
         self.probing = asyncio.Semaphore(settings.probes.at_once)
         self.list_heard_at = 0.0
+        self.alliance = Alliance(self, settings.fleet) if settings.fleet is not None else None
         self._remember()
 
     def _house(self, start: say.Deployment, epoch: int, numbers: dict[str, int]) -> House:
@@ -136,11 +139,13 @@
 
             self.front = Front(self.settings.netconf, self.desk)
             await self.front.start(tls)
-            self._start(self._confirming(self.desk))
+            self.start(self._confirming(self.desk))
         if self.keys is not None and self.settings.tls is not None:
-            self._start(self._rotate(self.keys, (host, port), self.settings.tls.every))
-        self._start(self._follow())
-        self._start(self._steps())
+            self.start(self._rotate(self.keys, (host, port), self.settings.tls.every))
+        if self.alliance is not None:
+            self.start(self.alliance.run())
+        self.start(self._follow())
+        self.start(self._steps())
         try:
             await self.over.wait()
         finally:
@@ -153,7 +158,7 @@
             self.store.close()
             log.info("ended", name=self.settings.name)
 
-    def _start(self, work: Any) -> asyncio.Task[None]:  # noqa: ANN401
+    def start(self, work: Any) -> asyncio.Task[None]:  # noqa: ANN401
         task: asyncio.Task[None] = asyncio.get_running_loop().create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self._done)
@@ -199,7 +204,7 @@
             if (line := self.lines.pop(cut.proxy, None)) is not None:
                 line.task.cancel()
         for backend, address in work.probes:
-            self._start(self._probe(backend, address))
+            self.start(self._probe(backend, address))
         for remark in work.remarks:
             log.info("remark", text=remark)
 
@@ -288,21 +293,28 @@
                 if self.lines.get(number) is line and line.generation < keys.generation:
                     line.task.cancel()
                     self._gone(number, line.token, "its keys were replaced")
-                    await asyncio.sleep(self._join_time())
+                    await asyncio.sleep(self.join_time())
                     while self.house.channel.waiting > self.house.channel.limits.most_waiting / 4:
                         await asyncio.sleep(0.01)
 
-    def _join_time(self) -> float:
+    def end_stream(self, proxy: str, why: str) -> None:
+        """Ends one proxy's stream; it keeps its tables and joins again, here or elsewhere."""
+        number = self.house.numbers.get(proxy, -1)
+        if (line := self.lines.get(number)) is not None:
+            line.task.cancel()
+            self._gone(number, line.token, why)
+
+    def join_time(self) -> float:
         """Seconds that the channel takes for one proxy's full tables."""
         limits, tables = self.house.channel.limits, self.house.books.tables.values()
         return (limits.head + 2 + sum(len(lines) + 1 for lines in tables)) / limits.lines_per_s
 
     # Proxies
 
-    async def _proxy(self, who: Joining, address: tuple[str, int], token: str) -> None:
+    async def _proxy(self, who: Joining, address: tuple[str, int], token: str, fence: int, beat: float) -> None:
         """One stream from its opening to its end."""
         patience = self.settings.patience / TENTHS
-        stream = Stream(address, token, self.encoder, patience)
+        stream = Stream(address, token, self.encoder, patience, fence)
         me = asyncio.current_task()
         assert me is not None
         number = -1
@@ -322,7 +334,7 @@
             log.info("joined", proxy=who.name, number=number, zone=who.zone, standing=who.standing)
             self.stir.set()
             while True:
-                await self._next(stream, number, orders)
+                await self._next(stream, number, orders, beat)
         except OSError as error:
             self._gone(number, token, str(error) or type(error).__name__)
         except Refused as error:
@@ -336,15 +348,18 @@
         finally:
             stream.close()
 
-    async def _next(self, stream: Stream, number: int, orders: asyncio.Queue[tuple[Message, int]]) -> None:
+    async def _next(self, stream: Stream, number: int, orders: asyncio.Queue[tuple[Message, int]], beat: float) -> None:
         try:
-            async with asyncio.timeout(BEAT):
+            async with asyncio.timeout(beat):
                 message, ordered = await orders.get()
         except TimeoutError:
             held = stream.held
             if await stream.look() != held:
                 raise Refused("its view has changed by itself") from None
             return
+        # A process that stood still past its lease may have lost the proxy; it looks before it acts.
+        if self.clock.now() - ordered > self.settings.patience and await stream.look() != message.base:
+            raise Refused("its view has changed by itself")
         await stream.send(message, ordered)
         self.house.channel.taken(number)
         tag = await stream.answer()
@@ -379,6 +394,12 @@
                 return answer(200, self.state())
             case "GET", ["v1", "orders"]:
                 return answer(200, await asyncio.to_thread(self.store.orders, NUMBER_OF_ORDERS))
+            case ("POST", ["v1", "fleet"]) if self.alliance is not None:
+                return self.alliance.heard(request)
+            case ("GET", ["v1", "fleet"]) if self.alliance is not None:
+                return self.alliance.command("status", {})
+            case ("POST", ["v1", "fleet", ("handover" | "move" | "who") as what]) if self.alliance is not None:
+                return self._command(self.alliance, what, request)
             case "PUT", ["v1", "proxies", name]:
                 return self._join(name, request)
             case "POST", ["v1", "proxies", name, "sums"]:
@@ -396,23 +417,38 @@
         try:
             given = request.json()
             who = Joining(name, given["zone"], float(given["usual"]), bool(given["standing"]), View.read(given["held"]))
-            address = address_parts(given["push"])
+            address, held = address_parts(given["push"]), given.get("token", 0)
+            # The agent gives a stream up after this long with nothing heard; three beats fit into it.
+            beat = max(0.05, min(BEAT, float(given.get("silence", 3 * BEAT)) / 3))
         except (ValueError, KeyError, TypeError, Malformed) as error:
             return problem(400, f"not a join: {error}")
         if who.zone not in self.settings.zones:
             return problem(422, f"zone {who.zone!r} is not served here")
-        if not 0 <= who.usual < 1e9:
-            return problem(422, "usual flows out of range")
+        if not 0 <= who.usual < 1e9 or type(held) is not int or held < 0:
+            return problem(422, "usual flows or token out of range")
+        if self.alliance is not None and not given.get("insist"):
+            better = self.alliance.better(name, who.zone)
+            if better is not None:
+                return answer(307, {"controller": self.settings.name, "better": better})
         if (wait := self.house.door.wait(self.clock.now(), name)) > 0:
             return Response(503, {"retry-after": str(-(-wait // TENTHS))}, b"")
         try:
             self.house.number(name)
-        except OverflowError as error:
+            fence = next_token(held)
+        except (OverflowError, Fenced) as error:
             return problem(507, str(error))
         token = f"{self.settings.name}.{secrets.token_hex(8)}"
-        self._start(self._proxy(who, address, token))
+        self.start(self._proxy(who, address, token, fence, beat))
         every = self.settings.start.report_every / TENTHS
-        return answer(200, {"stream": token, "controller": self.settings.name, "report_every": every})
+        told = {"stream": token, "token": fence, "controller": self.settings.name, "report_every": every}
+        return answer(200, told)
+
+    def _command(self, alliance: Alliance, what: str, request: Request) -> Response:
+        try:
+            given = request.json()
+            return alliance.command(what, given if isinstance(given, dict) else {})
+        except ValueError as error:
+            return problem(400, str(error))
 
     def _sums(self, name: str, request: Request) -> Response:
         try:
--- a/onyxhead/fleet/coalition.py
+++ b/onyxhead/fleet/coalition.py
@@ -9,6 +9,8 @@
 from onyxhead.fleet.serving import Member, deal, preference
 
 SECOND = 10_000
+REMEMBERED = 60 * SECOND
+"""For so long a proxy that no member serves any more stays on the roll."""
 
 
 class News(NamedTuple):
@@ -31,6 +33,8 @@
         self.changed, self.seen = now, tuple(membership.alive())
         self.moved_at = now
         self.pinned: dict[str, str] = {}
+        self.roll: dict[str, tuple[str, int]] = {}
+        self.rolled = now
 
     @property
     def own(self) -> str:
@@ -58,13 +62,28 @@
         """Backends that other members keep withdrawn, as far as they said so of late. It only ever adds to caution."""
         return {backend for news in self.news.values() if now - news.at < younger for backend in news.withdrawn}
 
-    def proxies(self, own: Mapping[str, str], now: int, younger: int) -> dict[str, str]:
-        """All proxies of the fleet as far as known, with their zones; what this member serves itself counts most."""
-        found: dict[str, str] = {}
-        for name in sorted(self.news):
-            if name in self.seen and now - self.news[name].at < younger:
-                found |= self.news[name].proxies
-        return found | dict(own)
+    def proxies(self, own: Mapping[str, str], now: int) -> dict[str, str]:
+        """All proxies of the fleet as far as known, with their zones.
+
+        One that is on its way from a member to another stays on the roll: were it left out, members would deal the
+        rest differently and hand proxies back and forth."""
+        for news in [news for name, news in sorted(self.news.items()) if name in self.seen]:
+            for proxy, zone in news.proxies.items():
+                self._enrol(proxy, zone, news.at, now)
+        for proxy, zone in own.items():
+            self._enrol(proxy, zone, now, now)
+        gone = [proxy for proxy, (_, seen) in self.roll.items() if now - seen > REMEMBERED]
+        for proxy in gone:
+            del self.roll[proxy]
+            self.rolled = now
+        return {proxy: zone for proxy, (zone, _) in self.roll.items()}
+
+    def _enrol(self, proxy: str, zone: str, seen: int, now: int) -> None:
+        if proxy not in self.roll:
+            if now - seen > REMEMBERED:
+                return
+            self.rolled = now
+        self.roll[proxy] = (zone, max(seen, self.roll.get(proxy, (zone, 0))[1]))
 
     def better(self, proxy: str, zone: str, own: Mapping[str, str], now: int) -> str | None:
         """The member that should serve this proxy in place of this one; None if it is best served here."""
@@ -73,7 +92,7 @@
             return preference(proxy, zone, serving)[0]
         if self.pinned.get(proxy) in serving:
             return None if self.pinned[proxy] == self.own else self.pinned[proxy]
-        dealt = deal(self.proxies(own, now, 5 * SECOND) | {proxy: zone}, serving)
+        dealt = deal(self.proxies(own, now) | {proxy: zone}, serving)
         return dealt[proxy] if dealt.get(proxy, self.own) != self.own else None
 
     def move(self, own: Mapping[str, str], now: int, gap: int) -> tuple[str, str] | None:
@@ -81,12 +100,14 @@
 
         A member that leaves hands over at once; for balance alone nothing is moved while members come and go."""
         leaving = self.membership.status is Status.LEAVING
-        if now - self.moved_at < gap or (not leaving and now - self.changed < self.settle):
+        proxies = self.proxies(own, now)
+        quiet = now - max(self.changed, self.rolled) >= self.settle
+        if now - self.moved_at < gap or not (leaving or quiet):
             return None
         serving = self.serving()
         if not serving or serving.keys() == {self.own}:
             return None
-        dealt = deal(self.proxies(own, now, 5 * SECOND), serving)
+        dealt = deal(proxies, serving)
         for proxy in sorted(own):
             to = self.pinned.get(proxy, dealt.get(proxy, self.own))
             if to != self.own and to in serving:
--- a/onyxhead/fleet/membership.py
+++ b/onyxhead/fleet/membership.py
@@ -173,8 +173,8 @@
         if now >= self.next_at:
             # A process that stood still must not make up for the pings it missed.
             self.next_at = now + self.period
-            if (name := self._next()) is not None:
-                out.append(self._ping(name, now, None))
+            if (chosen := self._next()) is not None:
+                out.append(self._ping(chosen, now, None))
         return out
 
     def receive(self, packet: Packet, now: int) -> list[Packet]:
@@ -185,8 +185,8 @@
             return []
         for update in packet.updates:
             self._hear(update, now)
-        if self.known[packet.sender].status is Status.DEAD and packet.sender not in {u.name for u in packet.updates}:
-            # It was taken for dead and does not know; the next packet tells it, and it will say otherwise.
+        if self.known[packet.sender].status in (Status.SUSPECT, Status.DEAD):
+            # It lives and does not know what is said of it; the next packet tells it, and it will say otherwise.
             self.rumours[packet.sender] = 0
         match packet.kind:
             case "ping":
@@ -255,6 +255,10 @@
         if update.boot > self.boot and update.status is not Status.DEAD:
             # Someone newer uses this name. Both would answer to it; operators must be told.
             self.twins.add(update.boot)
+        elif update.boot > self.boot:
+            # A life that ended, later by its clock than this one began: the wall was set back, or the disk restored.
+            self.boot, self.incarnation = f"{update.boot}+", 0
+            self.rumours[self.own] = 0
         if update.boot == self.boot and update.status > self.status and update.incarnation >= self.incarnation:
             self.incarnation = min(LAST_INCARNATION, update.incarnation + 1)
             self.rumours[self.own] = 0
--- a/onyxhead/fleet/serving.py
+++ b/onyxhead/fleet/serving.py
@@ -38,7 +38,8 @@
     whole = sum(member.carries for member in members.values())
     if not whole:
         return {}
-    room = {name: math.ceil(SLACK * len(proxies) * member.carries / whole) for name, member in members.items()}
+    parts = {name: len(proxies) * member.carries / whole for name, member in members.items()}
+    room = {name: max(math.ceil(part), math.floor(SLACK * part)) for name, part in parts.items()}
     dealt: dict[str, str] = {}
     order = sorted(proxies, key=lambda name: hashlib.blake2b(name.encode(), digest_size=8).digest())
     for proxy in order:
--- a/onyxhead/fronts/files/push.py
+++ b/onyxhead/fronts/files/push.py
@@ -13,6 +13,7 @@
     MERGE_PATCH,
     ORDER,
     STREAM,
+    TOKEN,
     Fault,
     Request,
     content_digest,
@@ -50,7 +51,8 @@
 class Stream:
     """The connection to one agent. One request at a time: the next change builds on the answer to the last."""
 
-    def __init__(self, address: tuple[str, int], token: str, encoder: Encoder, patience: float) -> None:
+    def __init__(self, address: tuple[str, int], token: str, encoder: Encoder, patience: float, fence: int = 0) -> None:
+        self.marks = {STREAM: token} | ({TOKEN: str(fence)} if fence else {})
         self.address, self.token, self.encoder, self.patience = address, token, encoder, patience
         self.connection: Connection | None = None
         self.held = ""
@@ -73,14 +75,14 @@
 
     async def look(self) -> str:
         """The tag of the view that the agent holds; also tells it that the stream lives."""
-        await self._send(Request("HEAD", VIEW, {STREAM: self.token}))
+        await self._send(Request("HEAD", VIEW, self.marks))
         return await self._tag()
 
     async def send(self, message: Message, ordered: int) -> None:
         """Writes the message; returns once the stream has taken it. Raises OSError, Refused."""
         body, digest = self.encoder.body(message)
         headers = {
-            STREAM: self.token,
+            **self.marks,
             ORDER: order_field(message.turn, message.lines, ordered),
             "content-type": JSON if message.whole else MERGE_PATCH,
             "content-digest": digest,
--- a/onyxhead/http/messages.py
+++ b/onyxhead/http/messages.py
@@ -1,7 +1,7 @@
-"""Requests and responses as values, and the two headers of our own.
+"""Requests and responses as values, and the headers of our own.
 
-`Onyxhead-Stream` names the stream that an order belongs to; `Onyxhead-Order` tells the turn, the lines it counts and
-when it was ordered, as a structured dictionary (RFC 9651)."""
+`Onyxhead-Stream` names the stream that an order belongs to, `Onyxhead-Token` is its fencing token, and `Onyxhead-Order`
+tells the turn, the lines it counts and when it was ordered, as a structured dictionary (RFC 9651)."""
 
 from __future__ import annotations
 
@@ -14,6 +14,7 @@
 JSON = "application/json"
 STREAM = "onyxhead-stream"
 ORDER = "onyxhead-order"
+TOKEN = "onyxhead-token"
 MOST_HEADER = 32 * 1024
 MOST_BODY = 16 * 1024 * 1024
 
--- a/onyxhead/settings/load.py
+++ b/onyxhead/settings/load.py
@@ -72,6 +72,24 @@
     rules: tuple[Rule, ...]
 
 
+class Fellow(NamedTuple):
+    """Another controller: where it answers, its zone, the lines a second that its channel carries."""
+
+    address: Address
+    zone: str
+    pace: float
+
+
+class Fleet(NamedTuple):
+    """Controllers that share the proxies. Times in tenths of a millisecond, as the cores take them."""
+
+    members: dict[str, Fellow]
+    period: int
+    timeout: int
+    suspicion: int
+    settle: int
+
+
 class Controller(NamedTuple):
     """Times in seconds but for those of `start`, which are the module's."""
 
@@ -91,6 +109,7 @@
     prefixes: dict[str, str]
     netconf: Netconf | None
     tls: Tls | None
+    fleet: Fleet | None
 
 
 class Route(NamedTuple):
@@ -251,6 +270,9 @@
     overrides = {name: (own.get("weight", 0.0), own["drained"]) for name, own in found["backends"].items()}
     prefixes = {name: group["prefix"] for name, group in found["groups"].items()}
     front = _netconf(found["netconf"], here, addresses) if "netconf" in found else None
+    fleet = _fleet(found["fleet"], addresses) if "fleet" in found else None
+    if fleet is not None and found["name"] not in fleet.members:
+        wrong(f"{found['name']!r} is not among its fleet's members", "fleet", "members")
     if front is not None and front.tls is not None and "tls" not in found:
         wrong("NETCONF over TLS needs keys: tls is missing", "netconf")
     if faults:
@@ -260,10 +282,18 @@
         tuple(group.name for group in groups), zones, start, channel["patience"],
         Discovery(file, server, _seconds(given["every"])), _seconds(found["list_good_for"]),
         Probes(probes["path"], _seconds(probes["timeout"]), probes["at_once"]), Log(**found["log"]), overrides,
-        prefixes, front, _tls(found, here),
+        prefixes, front, _tls(found, here), fleet,
     )  # fmt: skip
 
 
+def _fleet(given: Found, addresses: _Addresses) -> Fleet:
+    members = {
+        name: Fellow(addresses.read(each["address"], "fleet", "members", name), each["zone"], each["pace"])
+        for name, each in given["members"].items()
+    }
+    return Fleet(members, given["period"], given["timeout"], given["suspicion"], given["settle"])
+
+
 def _tls(found: Found, here: Path) -> Tls | None:
     if (given := found.get("tls")) is None:
         return None
--- a/onyxhead/trial/audit.py
+++ b/onyxhead/trial/audit.py
@@ -32,6 +32,8 @@
     lines: int
     whole: bool
     document: dict[str, Any]
+    stream: str
+    token: int
 
 
 class Stay(NamedTuple):
@@ -90,6 +92,8 @@
                         int(order["lines"]),
                         method == "PUT",
                         document,
+                        headers["onyxhead-stream"],
+                        int(headers["onyxhead-token"]),
                     )
                 )
     return pushes, stays
@@ -192,6 +196,7 @@
     return {
         "rules": {rule: len(broken) for rule, broken in found.items()},
         "breaks": [f"rule {rule}: {text}" for rule, broken in found.items() for text in broken[:5]],
+        "doubled_orders": doubled(pushes),
         "torn_reads": sum(e["what"] == "torn" for e in events),
         "swaps": sum(e["what"] == "swap" for e in events),
         "service": round(served / whole, 4) if whole else None,
@@ -204,6 +209,18 @@
     }
 
 
+def doubled(pushes: list[Push]) -> int:
+    """Orders that an agent took twice, or took from a controller after it had listened to a newer one."""
+    count, seen = 0, set()
+    highest: dict[str, int] = {}
+    for push in sorted((push for push in pushes if 200 <= push.status < 300), key=lambda push: push.answered):
+        key = (push.agent, push.stream, push.ordered, json.dumps(push.document, sort_keys=True))
+        count += key in seen or push.token < highest.get(push.agent, 0)
+        seen.add(key)
+        highest[push.agent] = max(push.token, highest.get(push.agent, 0))
+    return count
+
+
 def bare(events: list[Event], stays: list[Stay], lists: Lists, figures: dict[str, float]) -> list[str]:
     found = []
     since: dict[tuple[str, str], float] = {}
--- a/onyxhead/trial/days.py
+++ b/onyxhead/trial/days.py
@@ -167,6 +167,39 @@
     return steps
 
 
+def siege(at: float, span: float) -> Steps:
+    """Controllers are killed, stopped and cut off at random, most of the time one or two at once."""
+    steps: Steps = []
+    chance = random.Random(at)
+    begin = at
+    while begin < at + span:
+        hold, what = chance.uniform(0.6, 3.0), chance.choice(("kill", "stop", "cut", "break"))
+        chosen: list[str] = []
+
+        def strike(fleet: Fleet, what: str = what, chosen: list[str] = chosen) -> None:
+            chosen.extend(_some(fleet, list(fleet.controllers), 0.34))
+            match what:
+                case "kill" | "stop":
+                    for name in chosen:
+                        fleet.kill(name, signal.SIGKILL if what == "kill" else signal.SIGSTOP)
+                case "cut":
+                    fleet.say("wire", {"down": chosen})
+                case _:
+                    fleet.say("wire", {"break": 0.5})
+
+        def mend(fleet: Fleet, what: str = what, chosen: list[str] = chosen) -> None:
+            for name in chosen:
+                if what == "kill" and fleet.processes[name].poll() is not None:
+                    fleet.serve(name)
+                elif what == "stop":
+                    fleet.kill(name, signal.SIGCONT)
+            fleet.say("wire", {"down": [], "break": 0.0})
+
+        steps += [(begin, strike), (begin + hold, mend)]
+        begin += hold + chance.uniform(0.2, 2.0)
+    return steps
+
+
 TROUBLES: dict[str, Callable[[float, float], Steps]] = {
     "crash": crash,
     "vanish": lambda at, span: _spell(at, span, _backends(0.2), {"silent": True}, {"silent": False}),
@@ -178,6 +211,7 @@
     "balancer_crash": balancer_crash,
     "controller_crash": lambda at, span: balancer_crash(at, span, "controllers", 0.5),
     "restart": restart,
+    "siege": siege,
     "shared_slow": lambda at, span: _spell(at, span, lambda fleet: fleet.up(), {"slower": 1.6}, {"slower": 1.0}),
     "origin_slow": lambda at, span: _spell(at, span, _one("wire"), {"bytes_per_s": 40_000}, {"bytes_per_s": 0}),
     "counter_down": lambda at, span: _spell(
@@ -203,6 +237,7 @@
 DAYS = {
     "quiet": (),
     "storm": ("deploy", "burst", "balancer_crash"),
+    "siege": ("siege",),
     "restart": ("deploy", "restart"),
     "cut": ("zone_cut", "controller_crash"),
 }
@@ -215,5 +250,5 @@
     steps: Steps = []
     for trouble in troubles:
         begin = 0.2 * seconds + chance.uniform(0.0, 0.1 * seconds)
-        steps += TROUBLES[trouble](begin, 0.5 * seconds)
+        steps += TROUBLES[trouble](begin, 0.5 * seconds if trouble != "siege" else 0.75 * seconds)
     return sorted(steps, key=lambda step: step[0])
--- a/onyxhead/trial/run.py
+++ b/onyxhead/trial/run.py
@@ -62,6 +62,7 @@
     proxies: int = 8
     backends: int = 9
     rate: float = 120.0
+    shared: bool = True
 
 
 def free_ports(count: int) -> list[int]:
@@ -84,13 +85,12 @@
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.listed: dict[str, dict[str, Any]] = {}
         self.version, self.made = 0, 0
-        count = 3 * size.proxies + 3 * size.controllers + size.proxies * size.controllers + 200
+        count = 3 * size.proxies + (size.proxies + size.controllers + 3) * size.controllers + 200
         self.ports = iter(free_ports(count))
         self.controllers = {f"c{n}": (ZONES[n % 3], next(self.ports)) for n in range(size.controllers)}
         self.proxies = {f"p{n}": (ZONES[n % 3], next(self.ports), next(self.ports)) for n in range(size.proxies)}
         self.discovery = next(self.ports)
         self.links: list[dict[str, Any]] = []
-        self.faults: dict[str, dict[str, Any]] = {}
 
     # Starting
 
@@ -102,10 +102,11 @@
         self.stand_in("discovery", "discovery", first)
         for name in self.proxies:
             self.settle(name)
-        zones = {name: zone for name, (zone, _) in self.controllers.items()}
-        self.stand_in("wire", "wire", {"links": self.links, "zones": zones})
         for name, (zone, port) in self.controllers.items():
             (self.folder / f"{name}.rec").write_text(self.controller_settings(name, zone, port))
+        zones = {name: zone for name, (zone, _) in self.controllers.items()}
+        self.stand_in("wire", "wire", {"links": self.links, "zones": zones})
+        for name in self.controllers:
             self.serve(name)
         for name, (zone, _, flows) in self.proxies.items():
             self.serve(name)
@@ -148,6 +149,15 @@
             }
             for g in GROUPS
         }  # fmt: skip
+        fellows = {
+            other: {
+                "zone": own, "pace": Unit(f"{PACE}/s"),
+                "address": f"127.0.0.1:{target if other == name else self.link(name, other, zone, own, target)}",
+            }
+            for other, (own, target) in self.controllers.items()
+        }  # fmt: skip
+        beats = {"period": ms(0.2), "timeout": ms(0.15), "suspicion": ms(0.8), "settle": ms(2)}
+        shared = {"fleet": {"members": fellows, **beats}} if self.size.shared else {}
         source = {"file": "list.json"} if self.watched else {"server": f"127.0.0.1:{self.discovery}"}
         return top({
             "kind": "controller", "name": name, "zone": zone, "zones": list(ZONES), "listen": f"127.0.0.1:{port}",
@@ -161,7 +171,7 @@
                 "unserved_limit": ms(UNSERVED), "drain_grace": ms(GRACE), "cold_share": COLD_SHARE,
                 "cold_time": ms(COLD), "overload_factor": FACTOR, "fall_time": ms(FALL),
             },
-            "discovery": source | {"every": ms(0.05)}, "probes": {"timeout": ms(0.25)},
+            "discovery": source | {"every": ms(0.05)}, "probes": {"timeout": ms(0.25)}, **shared,
         })  # fmt: skip
 
     def serve(self, name: str) -> None:
@@ -271,4 +281,9 @@
 
 
 def broken(verdict: dict[str, Any]) -> bool:
-    return any(verdict["rules"].values()) or verdict["torn_reads"] > 0 or not verdict["flows"]
+    return (
+        any(verdict["rules"].values())
+        or verdict["torn_reads"] > 0
+        or verdict["doubled_orders"] > 0
+        or not verdict["flows"]
+    )
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -92,7 +92,7 @@
 def test_a_state_that_is_not_whole_is_never_used(body: bytes) -> None:
     with pytest.raises(Torn):
         read_state(body)
-    assert read_state(state_of(View.EMPTY)) == View.EMPTY
+    assert read_state(state_of(View.EMPTY, 7)) == (View.EMPTY, 7)
 
 
 # Swaps
@@ -144,9 +144,10 @@
     shown = {path.name: path.read_bytes() for path in (tmp_path / "files").iterdir() if path.name[0] != "."}
     assert all(body in (dict(_named(tree, old))[name], dict(_named(tree, new))[name]) for name, body in shown.items())
     again = Tree(settings(tmp_path))
-    held = again.load()
+    loaded = again.load()
+    assert loaded is not None
+    held = loaded[0]
     assert held in (old, new) and (held == new or not finished)
-    assert held is not None
     again.put(held)
     left = {path.name: path.read_bytes() for path in (tmp_path / "files").iterdir()}
     assert left == dict(_named(again, held)) and not list((tmp_path / "state").glob(f"{PASSING}*"))
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -195,6 +195,14 @@
         assert (await ask_once(address, Request("GET", "/v1/state"), 2.0, own)).status == 200
         with pytest.raises(Exception):  # noqa: B017  # whatever the handshake makes of it
             await ask_once(address, Request("GET", "/v1/state"), 2.0)
+        import tests.test_sockets as sockets
+
+        sockets.AGENT = AGENT + (TLS % ("p1", "p1")).replace("%", "%%")
+        agent = await running.agent("p1", port_of(controller))
+        sockets.AGENT = AGENT
+        await until(lambda: agent.keeper.stream)
+        order = Request("HEAD", "/v1/view", {"onyxhead-stream": agent.keeper.stream, "onyxhead-token": "1"})
+        assert (await ask_once(agent.push, order, 2.0, own)).status == 403
 
     play(tmp_path, work)
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -198,6 +198,7 @@
         from tests.fleetrig import request_of
 
         asked = [request_of(each, agent.keeper.stream, 0) for each in (one, two)]
+        asked = [each._replace(headers=each.headers | {"onyxhead-token": "1"}) for each in asked]
         answers = await asyncio.gather(*(ask_once(("127.0.0.1", agent.push[1]), each, 2.0) for each in asked))
         assert sorted(each.status for each in answers) == [204, 412]
         won = (one, two)[[each.status for each in answers].index(204)]
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -30,7 +30,7 @@
 
 
 def head(t: float, method: str = "HEAD", order: str = "", body: str = "") -> list[dict[str, Any]]:
-    more = f"onyxhead-order: {order}\r\ncontent-length: {len(body)}\r\n" if order else ""
+    more = f"onyxhead-token: 1\r\nonyxhead-order: {order}\r\ncontent-length: {len(body)}\r\n" if order else ""
     text = f"{method} /v1/view HTTP/1.1\r\nhost: x\r\nonyxhead-stream: c0.s\r\n{more}\r\n{body}"
     answer = 'HTTP/1.1 200 OK\r\netag: "x"\r\ncontent-length: 0\r\n\r\n'
     return [carried(t, ">", text), carried(t + 0.01, "<", answer)]
@@ -106,9 +106,17 @@
         script("no such day", 1, 20.0)
 
 
+def test_an_order_taken_twice_and_one_of_an_older_controller_are_found(tmp_path: Path) -> None:
+    assert verdict(tmp_path, *PUSHES[:2], *head(7.0, "PATCH", "turn=1, lines=60, at=20000", "{}"))["doubled_orders"] == 1
+    late = head(8.0, "PATCH", "turn=9, lines=1, at=70000", "{}")
+    older = [e | {"data": base64.b64encode(base64.b64decode(e["data"]).replace(b"token: 1", b"token: 0")).decode()} for e in late]
+    assert verdict(tmp_path, *PUSHES[:2], *older)["doubled_orders"] == 1
+
+
 @pytest.mark.parametrize("name", sorted(DAYS))
 def test_a_whole_day_on_loopback_keeps_the_rules(name: str) -> None:
-    found = play(name, 2, 14.0, Size(controllers=2, proxies=6, backends=9, rate=80.0))
+    size = Size(controllers=3 if name == "siege" else 2, proxies=6, backends=9, rate=80.0)
+    found = play(name, 2, 40.0 if name == "siege" else 14.0, size)
     assert not broken(found), found
     assert found["swaps"] > 12 and found["service"] > 0.6 and found["joins"] >= 6
     assert name != "storm" or 0 < found["withdrawal_max_ms"] < 1500
