Members put in and out in service; clocks apart, races and rotation in a join storm tested

Need: hard cases of the shared fleet and of keys in service, each a test. Change: fleet members kept over a restart; the verdict tells how long agents were with no controller.

--- a/onyxhead/cli/main.py
+++ b/onyxhead/cli/main.py
@@ -187,6 +187,24 @@
     click.echo(f"{proxy}: to {to}" + ("" if told["here"] else " once it joins here"))
 
 
+@fleet.command("members")
+@click.argument("address")
+@click.option("--add", nargs=4, metavar="NAME ADDRESS ZONE PACE", help="Put a member in, or change it.")
+@click.option("--remove", metavar="NAME", help="Take a member out.")
+@IDENTITY
+def members(address: str, add: tuple[str, str, str, str] | None, remove: str | None, identity: Path | None) -> None:
+    """Change whom the controller at ADDRESS shares with. Say it to each member; it stays over a restart."""
+    if add is not None:
+        name, at, zone, pace = add
+        given = {"name": name, "member": {"address": at, "zone": zone, "pace": pace}}
+    elif remove is not None:
+        given = {"name": remove, "member": None}  # type: ignore[dict-item]
+    else:
+        stop(FAULTY, "one of --add and --remove is wanted")
+    told = ask(address, "/v1/fleet/members", identity, given)
+    click.echo(" ".join(told["members"]))
+
+
 @main.command()
 @click.argument("address")
 @IDENTITY
--- a/onyxhead/controller/alliance.py
+++ b/onyxhead/controller/alliance.py
@@ -15,12 +15,14 @@
 from onyxhead.fleet.serving import Member
 from onyxhead.http.client import ask_once
 from onyxhead.http.messages import Fault, Request, Response, answer, problem
-from onyxhead.settings.load import Fleet
+from onyxhead.settings.load import Fellow, Fleet
+from onyxhead.tables.view import address_parts
 
 if TYPE_CHECKING:
     from onyxhead.controller.daemon import Daemon
 
 PATH = "/v1/fleet"
+KEPT = "fleet members"
 TENTHS = 10_000
 log = structlog.get_logger()
 
@@ -38,6 +40,24 @@
         members = {name: Member(name, each.zone, each.pace) for name, each in settings.members.items()}
         self.coalition = Coalition(membership, members, now, settings.settle)
         self.odd: set[str] = set()
+        for name, each in (daemon.store.kept(KEPT) or {}).items():
+            self._put(name, each, now)
+
+    def _put(self, name: str, given: dict[str, Any] | None, now: int) -> None:
+        """Adds, changes or (with None) removes a member. Raises ValueError, KeyError, Malformed for what is none."""
+        coalition, members = self.coalition, self.settings.members
+        if given is None:
+            members.pop(name, None)
+            coalition.members.pop(name, None)
+            coalition.news.pop(name, None)
+            coalition.membership.remove(name)
+            return
+        fellow = Fellow(address_parts(given["address"]), str(given["zone"]), float(given["pace"]))
+        if not name or not 0 < fellow.pace < 1e9:
+            raise ValueError("name or pace out of range")
+        members[name] = fellow
+        coalition.members[name] = Member(name, fellow.zone, fellow.pace)
+        coalition.membership.add(name, now)
 
     def own(self) -> dict[str, str]:
         house = self.daemon.house
@@ -133,6 +153,19 @@
                 return problem(409, f"{to} is not known to serve now")
             coalition.pinned[proxy] = to
             return answer(200, {"proxy": proxy, "to": to, "here": proxy in self.own()})
+        if what == "members":
+            name, each = str(given.get("name")), given.get("member")
+            if name == coalition.own and each is None:
+                return problem(409, "a controller leaves by handover, not by removing itself")
+            try:
+                self._put(name, each, now)
+            except (ValueError, KeyError, TypeError) as error:
+                return problem(422, f"not a member: {error}")
+            # Over the settings, and on disk before it is answered.
+            kept = self.daemon.store.kept(KEPT) or {}
+            self.daemon.store.keep(KEPT, kept | {name: each})
+            log.info("fleet", said=f"{name} {'removed' if each is None else 'put in'} by command")
+            return answer(200, {"members": sorted(self.settings.members)})
         if what == "who":
             proxy = str(given.get("proxy"))
             # A member that is gone serves nobody, whatever it said last; of the others the newest word counts.
--- a/onyxhead/controller/daemon.py
+++ b/onyxhead/controller/daemon.py
@@ -398,7 +398,10 @@
                 return self.alliance.heard(request)
             case ("GET", ["v1", "fleet"]) if self.alliance is not None:
                 return self.alliance.command("status", {})
-            case ("POST", ["v1", "fleet", ("handover" | "move" | "who") as what]) if self.alliance is not None:
+            case (
+                "POST",
+                ["v1", "fleet", ("handover" | "move" | "who" | "members") as what],
+            ) if self.alliance is not None:
                 return self._command(self.alliance, what, request)
             case "PUT", ["v1", "proxies", name]:
                 return self._join(name, request)
--- a/onyxhead/trial/audit.py
+++ b/onyxhead/trial/audit.py
@@ -10,6 +10,7 @@
 import re
 from bisect import bisect_right
 from collections import defaultdict
+from itertools import pairwise
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -204,11 +205,21 @@
         "pushes": len(pushes),
         "lines": sum(push.lines for push in pushes),
         "joins": len(stays),
+        "apart_max_ms": round(max(gaps(stays), default=0.0) * 1000),
         "withdrawal_max_ms": round(slowest * 1000),
         "seed": seed,
     }
 
 
+def gaps(stays: list[Stay]) -> list[float]:
+    """How long agents were with no controller between two stays: what a take-over took."""
+    found = []
+    for agent in sorted({stay.agent for stay in stays}):
+        own = sorted((stay for stay in stays if stay.agent == agent), key=lambda stay: stay.since)
+        found += [max(0.0, after.since - before.until) for before, after in pairwise(own)]
+    return found
+
+
 def doubled(pushes: list[Push]) -> int:
     """Orders that an agent took twice, or took from a controller after it had listened to a newer one."""
     count, seen = 0, set()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -132,6 +132,53 @@
     assert net.agree() and net.members["c2"].incarnation > 0
 
 
+@pytest.mark.parametrize("seed", range(6))
+def test_clocks_that_run_five_percent_apart_and_jump_make_no_difference(seed: int) -> None:
+    net = Net(4, seed)
+    drift = {name: 0.95 + 0.1 * n / 3 for n, name in enumerate(net.names)}
+    jump = Counter[str]()
+
+    class Own:
+        """A member as its own clock drives it."""
+
+        def __init__(self, member: Membership) -> None:
+            self.member = member
+
+        def at(self, now: int) -> int:
+            return int(now * drift[self.member.own]) + jump[self.member.own]
+
+        def tick(self, now: int) -> list[Packet]:
+            return self.member.tick(self.at(now))
+
+        def receive(self, packet: Packet, now: int) -> list[Packet]:
+            return self.member.receive(packet, self.at(now))
+
+        def alive(self) -> list[str]:
+            return self.member.alive()
+
+    for name in net.names:
+        member = Membership(name, "00001", net.names, Random(seed), int(net.now * drift[name]))
+        net.members[name] = Own(member)  # type: ignore[assignment]
+    net.run(4)
+    assert net.agree()
+    jump["c1"] = 60 * SECOND
+    net.run(6)
+    assert net.agree()
+
+
+def test_a_member_started_with_an_older_clock_than_its_last_life_is_heard_again() -> None:
+    net = Net(3, 9)
+    net.lives["c1"] = 500
+    net.members["c1"] = net.start("c1")
+    net.run(3)
+    net.members.pop("c1")
+    net.run(4)
+    net.lives["c1"] = 10
+    net.members["c1"] = net.start("c1")
+    net.run(5)
+    assert net.agree() and net.members["c1"].boot > "00501"
+
+
 def test_traffic_grows_with_members_and_not_with_pairs() -> None:
     rates = []
     for count in (3, 9, 27):
@@ -426,6 +473,15 @@
         daemons[0].over.set()
         await until(lambda: set().union(*served(daemons[1:])) == names, 10.0)
         assert all(a.keeper.fence.held > tokens[a.settings.name] for a in agents if a.settings.name in lost)
+        # A member is put in and taken out while all run, and it is on disk.
+        address = ("127.0.0.1", daemons[2].settings.listen[1])
+        for member in ({"address": "127.0.0.1:9", "zone": "north", "pace": 10}, None, {"address": "x"}):
+            body = json.dumps({"name": "c7", "member": member}).encode()
+            told = await ask_once(address, Request("POST", "/v1/fleet/members", {}, body), 2.0)
+            assert told.status == (422 if member == {"address": "x"} else 200)
+            if told.status == 200:
+                assert ("c7" in told.json()["members"]) == (member is not None)
+        assert daemons[2].store.kept("fleet members") == {"c7": None}
         # A planned handover leaves nobody with the one that goes.
         address = ("127.0.0.1", daemons[1].settings.listen[1])
         assert (await ask_once(address, Request("POST", "/v1/fleet/handover", {}, b"{}"), 2.0)).status == 200
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -184,6 +184,27 @@
     play(tmp_path, work)
 
 
+def test_keys_replaced_in_a_join_storm_lose_nobody(tmp_path: Path, authority: Authority) -> None:
+    async def work(running: Running) -> None:
+        running.more = TLS % ("c1", "c1")
+        controller = await running.controller()
+        import tests.test_sockets as sockets
+
+        names = [f"s{n}" for n in range(8)]
+        for name in names:
+            authority.issue(name, "agent")
+            sockets.AGENT = AGENT + (TLS % (name, name)).replace("%", "%%")
+            await running.agent(name, port_of(controller))
+            authority.renew("c1")
+        sockets.AGENT = AGENT
+        await until(lambda: all(len(shown(tmp_path, name)) == 3 for name in names), 15.0)
+        list_of(tmp_path, 2, [{"id": "b1", "address": "127.0.0.1:9001", "zone": "north"}])
+        await until(lambda: all(shown(tmp_path, name) == {9001} for name in names), 15.0)
+        assert controller.house.counts["faults"] == 0
+
+    play(tmp_path, work)
+
+
 def test_a_certificate_speaks_for_its_own_name_and_plain_connections_for_none(tmp_path: Path, authority: Authority) -> None:
     async def work(running: Running) -> None:
         running.more = TLS % ("c1", "c1")
--- a/tests/test_netconf.py
+++ b/tests/test_netconf.py
@@ -26,7 +26,7 @@
 from onyxhead.fronts.netconf.framing import END, Framing, Unframed
 from onyxhead.fronts.netconf.session import Session
 from onyxhead.settings.load import Controller, Rule, User, read
-from tests.test_sockets import CONTROLLER, Running, play, shown, until
+from tests.test_sockets import BACKENDS, CONTROLLER, Running, list_of, play, shown, until
 
 GROUP = {"name": "read", "latency-budget": 5000, "expiry": 10_000, "repeats": "retriable"}
 TREE: Tree = {"group": [GROUP], "channel": {"pace": "5000.0", "most-waiting": 2000}, "guards": {"drain-grace": 20_000}}
@@ -580,6 +580,33 @@
     play(tmp_path, work)
 
 
+def test_a_commit_that_races_a_list_change_and_a_proxy_that_moves_ends_with_both(tmp_path: Path) -> None:
+    async def work(running: Running) -> None:
+        (tmp_path / "host").write_bytes(asyncssh.generate_private_key("ecdsa-sha2-nistp256").export_private_key())
+        running.more = 'netconf: {ssh: "127.0.0.1:0", host_key: "host", users: {}}\n'
+        controller = await running.controller()
+        port = int(controller.server.listener.sockets[0].getsockname()[1])  # type: ignore[union-attr]
+        agent = await running.agent("p1", port)
+        await until(lambda: len(shown(tmp_path, "p1")) == 3)
+        desk = controller.desk
+        assert desk is not None
+        desk.access.rules = (Rule("all", ("*",), None, None, ("*",), True),)
+        for turn in range(6):
+            out = "true" if turn % 2 == 0 else "false"
+            fourth = {"id": "b4", "address": "127.0.0.1:9004", "zone": "north", "state": "ready"}
+            list_of(tmp_path, 2 + turn, [*BACKENDS, fourth] if turn % 3 else BACKENDS)
+            agent.lost.set()
+            text = backend("b2", "", f"<drained>{out}</drained>")
+            desk.stores.put(1, "candidate", after(text, tree=desk.stores.running))
+            await asyncio.sleep(0.02 * turn)
+            desk.commit("u", 1)
+        await until(lambda: shown(tmp_path, "p1") == {9001, 9002, 9003, 9004}, 12.0)
+        number = controller.house.number("p1")
+        await until(lambda: controller.house.books.views[number].tag == agent.keeper.view.tag)
+
+    play(tmp_path, work)
+
+
 def test_a_change_of_guards_starts_the_module_anew_and_proxies_come_back_with_the_same_lines(tmp_path: Path) -> None:
     async def work(running: Running) -> None:
         (tmp_path / "host").write_bytes(asyncssh.generate_private_key("ecdsa-sha2-nistp256").export_private_key())
