Versions of tables, the way back, and joins by what differs

Need: going back at once when a table goes wrong; fewer lines for proxies that come back, as each line halts them. Change: history by shared structure, rollback filtered through what is true now and held beside the module, versions on disk with a digest each, tables commands; a join sends the lines that differ from the view the agent told.

--- a/onyxhead/cli/main.py
+++ b/onyxhead/cli/main.py
@@ -141,13 +141,102 @@
 
 
 @main.group()
-def fleet() -> None:
-    """Controllers that share the proxies."""
+def tables() -> None:
+    """Versions of a controller's tables, and the way back."""
 
 
+AS_JSON = click.option("--json", "as_json", is_flag=True)
 IDENTITY = click.option("--as", "identity", type=EXISTING, help="FOLDER/NAME of the certificate to show.")
 
 
+def shown(title: str, told: Any, as_json: bool) -> None:  # noqa: ANN401
+    if as_json:
+        click.echo(json.dumps(told, indent=2))
+    else:
+        show_rows(title, told if isinstance(told, list) else [{"what": k, "value": v} for k, v in told.items()])
+
+
+@tables.command("log")
+@click.argument("address")
+@click.option("--most", default=20, show_default=True)
+@AS_JSON
+@IDENTITY
+def tables_log(address: str, most: int, as_json: bool, identity: Path | None) -> None:
+    """The last versions, newest first."""
+    shown("versions", ask(address, "/v1/tables/log", identity, {"most": most}), as_json)
+
+
+@tables.command("show")
+@click.argument("version")
+@click.argument("address")
+@AS_JSON
+@IDENTITY
+def tables_show(version: str, address: str, as_json: bool, identity: Path | None) -> None:
+    """One version's lines; VERSION is a number, a label or `last`."""
+    shown("version", ask(address, "/v1/tables/show", identity, {"version": version}), as_json)
+
+
+@tables.command("diff")
+@click.argument("one")
+@click.argument("two")
+@click.argument("address")
+@AS_JSON
+@IDENTITY
+def tables_diff(one: str, two: str, address: str, as_json: bool, identity: Path | None) -> None:
+    """Lines that differ between two versions."""
+    shown("differences", ask(address, "/v1/tables/diff", identity, {"one": one, "two": two}), as_json)
+
+
+@tables.command("blame")
+@click.argument("backend")
+@click.argument("address")
+@AS_JSON
+@IDENTITY
+def tables_blame(backend: str, address: str, as_json: bool, identity: Path | None) -> None:
+    """Versions that changed BACKEND's lines, and why."""
+    shown("changes", ask(address, "/v1/tables/blame", identity, {"backend": backend}), as_json)
+
+
+@tables.command("rollback")
+@click.argument("version")
+@click.argument("address")
+@click.option("--seconds", default=600.0, show_default=True, help="How long the tables are held.")
+@click.option("--dry-run", is_flag=True, help="Only say what it would do.")
+@AS_JSON
+@IDENTITY
+def tables_rollback(
+    version: str, address: str, seconds: float, dry_run: bool, as_json: bool, identity: Path | None
+) -> None:
+    """Go back to VERSION and hold it; withdrawals, levels and ramps go on."""
+    what = "preview" if dry_run else "rollback"
+    shown(what, ask(address, f"/v1/tables/{what}", identity, {"version": version, "seconds": seconds}), as_json)
+
+
+@tables.command("release")
+@click.argument("address")
+@IDENTITY
+def tables_release(address: str, identity: Path | None) -> None:
+    """Let the tables follow the decisions again."""
+    released = ask(address, "/v1/tables/release", identity, {})["released"]
+    click.echo("released" if released else "nothing was held")
+
+
+@tables.command("label")
+@click.argument("version", type=int)
+@click.argument("label")
+@click.argument("address")
+@IDENTITY
+def tables_label(version: int, label: str, address: str, identity: Path | None) -> None:
+    """Name a version, and keep it."""
+    ask(address, "/v1/tables/label", identity, {"version": version, "label": label})
+    click.echo(f"{version}: {label}")
+
+
+@main.group()
+def fleet() -> None:
+    """Controllers that share the proxies."""
+
+
 @fleet.command()
 @click.argument("address")
 @click.option("--json", "as_json", is_flag=True)
--- a/onyxhead/controller/daemon.py
+++ b/onyxhead/controller/daemon.py
@@ -16,7 +16,7 @@
 import structlog
 
 import onyxhead.interface as say
-from onyxhead.controller import discovery, roster, sums
+from onyxhead.controller import discovery, roster, sums, ways
 from onyxhead.controller.alliance import Alliance
 from onyxhead.controller.clock import Clock
 from onyxhead.controller.configuration.tree import Tree
@@ -30,6 +30,8 @@
 from onyxhead.keys.rotate import Keys, Peer, peer_of
 from onyxhead.settings.load import Controller
 from onyxhead.store.store import Store
+from onyxhead.tables.history import History, Unknown
+from onyxhead.tables.history import Refused as Impossible
 from onyxhead.tables.orders import Message
 from onyxhead.tables.view import Malformed, View, address_parts
 
@@ -39,6 +41,7 @@
 TICK = 0.25
 NUMBER_OF_ORDERS = 100
 TENTHS = 10_000
+LABELS = "table labels"
 
 if TYPE_CHECKING:
     from onyxhead.controller.configuration.desk import Desk
@@ -75,7 +78,11 @@
             self.desk = open_desk(self)
             self.tree = self.desk.stores.running
             start = deployment(self.tree, settings)
-        self.house = self._house(start, known.epoch, known.numbers)
+        history = History()
+        rows = self.store.versions()
+        history.restore((n, epoch, at, cause, _changes(changes)) for n, epoch, at, cause, changes in rows)
+        history.labels = {k: v for k, v in (self.store.kept(LABELS) or {}).items() if v in history.versions}
+        self.house = self._house(start, known.epoch, known.numbers, history)
         self.follower = roster.Follower(settings.zones, self.clock.of_wall, self.clock.now)
         self.encoder = Encoder()
         self.lines: dict[int, Line] = {}
@@ -88,10 +95,11 @@
         self.alliance = Alliance(self, settings.fleet) if settings.fleet is not None else None
         self._remember()
 
-    def _house(self, start: say.Deployment, epoch: int, numbers: dict[str, int]) -> House:
+    def _house(self, start: say.Deployment, epoch: int, numbers: dict[str, int], history: History) -> House:
         settings, names = self.settings, tuple(group.name for group in start.groups)
         seed = settings.seed + epoch
-        return House(start, names, settings.zones, seed, epoch, settings.patience, self.clock.now(), numbers)
+        now = self.clock.now()
+        return House(start, names, settings.zones, seed, epoch, settings.patience, now, numbers, history)
 
     # Starting and ending
 
@@ -199,6 +207,7 @@
             for decision in step.decisions:
                 if isinstance(decision, say.Shutout):
                     self.store.withdrew(decision.backend, decision.shut)
+        self._keep_versions()
         for cut in work.cuts:
             log.warning("stream given up", proxy=cut.name, why=cut.why)
             if (line := self.lines.pop(cut.proxy, None)) is not None:
@@ -208,6 +217,12 @@
         for remark in work.remarks:
             log.info("remark", text=remark)
 
+    def _keep_versions(self) -> None:
+        fresh, self.house.fresh_versions = self.house.fresh_versions, []
+        for version, changes in fresh:
+            rows = [[table, backend, parts] for (table, backend), parts in sorted(changes.items())]
+            self.store.version(version.number, version.epoch, version.at, version.cause, rows)
+
     async def _probe(self, backend: str, address: str) -> None:
         async with self.probing:
             sight, busy = await look(address, self.settings.probes.path, self.settings.probes.timeout)
@@ -261,7 +276,8 @@
             line.task.cancel()
         self.lines.clear()
         withdrawn = list(self.house.books.withdrawn)
-        self.house = self._house(start, epoch, self.house.numbers)
+        self._keep_versions()
+        self.house = self._house(start, epoch, self.house.numbers, self.house.history)
         self.follower = roster.Follower(self.settings.zones, self.clock.of_wall, self.clock.now)
         if self.raw is not None:
             self.house.list_heard(self.clock.now(), self.follower.remember(overlaid(self.raw, self.tree)))
@@ -394,6 +410,8 @@
                 return answer(200, self.state())
             case "GET", ["v1", "orders"]:
                 return answer(200, await asyncio.to_thread(self.store.orders, NUMBER_OF_ORDERS))
+            case (("GET" | "POST"), ["v1", "tables", what]):
+                return self._tables(what, request)
             case ("POST", ["v1", "fleet"]) if self.alliance is not None:
                 return self.alliance.heard(request)
             case ("GET", ["v1", "fleet"]) if self.alliance is not None:
@@ -446,6 +464,28 @@
         told = {"stream": token, "token": fence, "controller": self.settings.name, "report_every": every}
         return answer(200, told)
 
+    def _tables(self, what: str, request: Request) -> Response:
+        now = self.clock.now()
+        try:
+            given = request.json() if request.body else {}
+            if not isinstance(given, dict):
+                raise ValueError("not an object")
+            if what in ("rollback", "release", "label"):
+                if request.method != "POST":
+                    return problem(405, f"{what} is asked for by POST")
+                log.info("tables", asked=what, **{name: given.get(name) for name in ("version", "label", "seconds")})
+                self.stir.set()
+            return answer(200, ways.run(self.house, now, what, given, self._keep_label))
+        except Unknown as error:
+            return problem(404, str(error.args[0]))
+        except Impossible as error:
+            return problem(409, str(error))
+        except (ValueError, KeyError, TypeError) as error:
+            return problem(400, f"not understood: {error}")
+
+    def _keep_label(self, labels: dict[str, int]) -> None:
+        self.store.keep(LABELS, labels)
+
     def _command(self, alliance: Alliance, what: str, request: Request) -> Response:
         try:
             given = request.json()
@@ -466,6 +506,10 @@
         return answer(200, {"taken": fresh})
 
 
+def _changes(rows: list[Any]) -> dict[tuple[int, str], int]:
+    return {(int(table), str(backend)): int(parts) for table, backend, parts in rows}
+
+
 def may_ask(request: Request, parts: list[str], peer: Peer | None) -> bool:
     """An agent speaks for itself only; operators and controllers may look."""
     if parts[:2] == ["v1", "proxies"] and request.method != "GET":
--- a/onyxhead/controller/house.py
+++ b/onyxhead/controller/house.py
@@ -17,10 +17,13 @@
 from onyxhead.controller.door import Door
 from onyxhead.controller.roster import Followed
 from onyxhead.controller.sums import Gate, Gathered, Report
+from onyxhead.tables.history import Back, History, Key, Pin, Truth, Version, plan
 from onyxhead.tables.orders import Books, Message
 from onyxhead.tables.view import View
 
 MOST_PROXIES = 65_535
+SETTLE_SHARE = 0.45
+"""Of the queue limit, for lines of held or released tables; as much as the module gives its own turns."""
 CAUSES = 12
 """So many causes are told with an order; more say no more."""
 
@@ -82,6 +85,7 @@
         patience: int,
         now: int,
         numbers: dict[str, int] | None = None,
+        history: History | None = None,
     ) -> None:
         self.start, self.groups, self.zones, self.epoch = start, groups, zones, epoch
         self.brain = Brain(start, seed, now)
@@ -97,6 +101,16 @@
         self.work = Work()
         self.wake_at = self.tell_at = now
         self.counts: Counter[str] = Counter()
+        self.history = history or History()
+        self.fresh_versions: list[tuple[Version, dict[Key, int]]] = []
+        self.last_sent: dict[Key, int] = {}
+        self.unsettled, self.at, self.seen_revision = False, now, 0
+        # Proxies of earlier lives hold other tables; a version begins from what this life has sent.
+        if self.history.last.lines:
+            gone = dict.fromkeys(self.history.last.lines, 0)
+            if (version := self.history.append(epoch, now, "restart", gone)) is not None:
+                self.fresh_versions.append((version, gone))
+        self.pin: Pin | None = None
         self.group_numbers = {name: place for place, name in enumerate(groups)}
 
     # What is heard
@@ -169,6 +183,8 @@
         if tag != message.result.tag:
             self.fault(now, proxy, "it holds another view than it was sent")
             return
+        if not message.turn:
+            return
         self.applied[proxy] = (message.turn, tag)
         self.brain.turn_applied(now, proxy, message.turn, now - ordered)
         self._cause(f"{self.joined[proxy].name} applied {message.turn}")
@@ -211,6 +227,9 @@
             for proxy, group, came, span in flows:
                 self.brain.learn_intake(now, proxy, group, came, span)
         self._decide(now)
+        if self.pin is not None and now >= self.pin.until:
+            self.release(now, "its time is over")
+        self._settle(now)
         for proxy in self.channel.stuck(now):
             self.fault(now, proxy, "it takes nothing")
         self.work.leaving = self.channel.leave_now(now)
@@ -237,12 +256,71 @@
                 case say.Remark(text):
                     work.remarks.append(text)
         # Also with no one to tell: lines decided while no proxy is joined are what the first to join must get.
+        reached = set()
         for message in self.books.messages(turn, decisions):
+            reached.add(message.proxy)
             self._send(now, message)
+        # While tables are held some get no message; the module must not wait for answers that can't come.
+        for proxy in [proxy for proxy in self.brain.spent if turn and proxy not in reached]:
+            self.brain.turn_applied(now, proxy, turn, 0)
+        self._remember(now, ", ".join(self.causes) or "time")
         if turn:
             work.steps.append(Step(turn, decisions, self.causes))
             self.causes = []
 
+    # Versions, and the way back
+
+    def _remember(self, now: int, cause: str) -> None:
+        if self.books.revision == self.seen_revision:
+            return
+        self.seen_revision, sent = self.books.revision, self.books.sent()
+        keys = {*sent, *self.last_sent}
+        changes = {key: sent.get(key, 0) for key in keys if sent.get(key, 0) != self.last_sent.get(key, 0)}
+        self.last_sent = sent
+        if (version := self.history.append(self.epoch, now, cause, changes)) is not None:
+            self.fresh_versions.append((version, changes))
+
+    def truth(self, now: int) -> Truth:
+        """Backends that are ready, and since when each is warm."""
+        cold = self.start.guards.cold_time
+        found: dict[str, int | None] = {}
+        for name, entry in self.listed.items():
+            if entry.ready:
+                warm = entry.started + cold if entry.started else 0
+                found[name] = (entry.started if warm <= now else None) if entry.started else 0
+        return Truth(found)
+
+    def preview(self, now: int, name: str) -> tuple[Back, float]:
+        """What going back would do, and the seconds that the channel takes. Raises Refused, Unknown."""
+        back = plan(self.history.find(name), self.books.wanted, self.books.sent(), self.truth(now))
+        users = max((len(users) for users in self.books.users.values()), default=0)
+        return back, users * (back.changes + self.books.head + 1) / self.start.channel.lines_per_s
+
+    def roll_back(self, now: int, name: str, seconds: float) -> Back:
+        """Holds the tables as in a version for so long. Withdrawals and levels go on. Raises Refused, Unknown."""
+        back, _ = self.preview(now, name)
+        self.pin = pin = Pin(self.history.find(name), now + round(seconds * 10_000))
+        self.books.hold = lambda wanted: pin.target(wanted, self.truth(self.at))
+        self._cause(f"rolled back to version {back.version}")
+        return back
+
+    def release(self, now: int, why: str) -> bool:
+        """Follows the module again; its lines are sent as the channel has room. False if nothing was held."""
+        held, self.pin, self.books.hold = self.pin is not None, None, None
+        if held:
+            self._cause(f"released: {why}")
+        return held
+
+    def _settle(self, now: int) -> None:
+        self.at = now
+        if self.pin is None and not self.unsettled:
+            return
+        room = SETTLE_SHARE * self.channel.limits.most_waiting - self.channel.waiting
+        for message in self.books.settle(room):
+            self._send(now, message)
+        self.unsettled = self.pin is not None or bool(self.books.unsettled())
+        self._remember(now, "held tables" if self.pin is not None else "released tables")
+
     def _send(self, now: int, message: Message) -> None:
         if message.proxy not in self.joined:
             return
@@ -274,6 +352,8 @@
                 "most": self.channel.limits.most_waiting,
                 "peak": round(self.channel.peak, 1),
             },
+            "version": self.history.last.number,
+            "held": self.pin.version.number if self.pin is not None else None,
             "counts": dict(sorted(self.counts.items())) | {"tries at unknown": self.gathered.unknown},
             "proxies": {
                 known.name: {
--- /dev/null
+++ b/onyxhead/controller/ways.py
@@ -0,0 +1,77 @@
+"""What operators ask of a controller's table versions, in plain values. No I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from onyxhead.controller.house import House
+from onyxhead.tables.history import Back, Version, diff
+
+LONGEST = 24 * 3600.0
+USUAL = 600.0
+MOST_ROWS = 200
+
+
+def run(house: House, now: int, what: str, given: dict[str, Any], keep: Callable[[dict[str, int]], None]) -> Any:  # noqa: ANN401
+    """The answer to one question or command. Raises Unknown, Refused, ValueError, KeyError, TypeError."""
+    history = house.history
+    match what:
+        case "log":
+            labels = {number: name for name, number in history.labels.items()}
+            return [
+                _version(version, now) | {"lines": changed, "label": labels.get(version.number, "")}
+                for version, changed in history.log(min(MOST_ROWS, int(given.get("most", 20))))
+            ]
+        case "show":
+            version = history.find(str(given["version"]))
+            return _version(version, now) | {"tables": _tables(version)}
+        case "diff":
+            one, two = (history.find(str(given[name])) for name in ("one", "two"))
+            return [
+                {"table": table, "backend": backend, "before": before, "after": after}
+                for (table, backend), before, after in diff(one.lines, two.lines)
+            ]
+        case "blame":
+            return [
+                _version(version, now) | {"table": table, "before": before, "after": after}
+                for version, lines in history.blame(str(given["backend"]))[:MOST_ROWS]
+                for (table, _), before, after in lines
+            ]
+        case "label":
+            history.label(str(given["label"]), int(given["version"]))
+            keep(history.labels)
+            return {"label": given["label"], "version": int(given["version"])}
+        case "preview":
+            back, seconds = house.preview(now, str(given["version"]))
+            return _back(back) | {"channel_s": round(seconds, 3)}
+        case "rollback":
+            hold = float(given.get("seconds", USUAL))
+            if not 0 < hold <= LONGEST:
+                raise ValueError(f"tables are held for 0 to {LONGEST:.0f} seconds")
+            _, seconds = house.preview(now, str(given["version"]))
+            return _back(house.roll_back(now, str(given["version"]), hold)) | {
+                "channel_s": round(seconds, 3),
+                "hold_s": hold,
+            }
+        case "release":
+            return {"released": house.release(now, "asked for")}
+    raise ValueError(f"there is no {what!r}")
+
+
+def _version(version: Version, now: int) -> dict[str, Any]:
+    return {
+        "version": version.number, "epoch": version.epoch, "age_s": round((now - version.at) / 10_000, 1),
+        "cause": version.cause, "tag": version.tag[:16],
+    }  # fmt: skip
+
+
+def _tables(version: Version) -> dict[str, dict[str, int]]:
+    found: dict[str, dict[str, int]] = {}
+    for (table, backend), parts in sorted(version.lines.items()):
+        found.setdefault(str(table), {})[backend] = parts
+    return found
+
+
+def _back(back: Back) -> dict[str, Any]:
+    return {"version": back.version, "lines": back.changes, "not_brought_back": back.left}
--- a/onyxhead/store/store.py
+++ b/onyxhead/store/store.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import contextlib
+import hashlib
 import json
 import queue
 import sqlite3
@@ -18,6 +19,7 @@
 
 LISTS_KEPT = 50
 ORDERS_KEPT = 20_000
+VERSIONS_KEPT = 1_000
 MOST_PENDING = 10_000
 RETRY = 1.0
 
@@ -34,6 +36,9 @@
 create table if not exists commits (
     number integer primary key, at real, tree text, user text, what text, until real, back integer, persist text
 ) strict;
+create table if not exists versions (
+    number integer primary key, epoch integer, at integer, cause text, changes text, digest text
+) strict;
 create table if not exists audit (
     number integer primary key, at real, user text, session integer, what text, result text
 ) strict;
@@ -66,6 +71,10 @@
     """The store can't be opened or written; the text says why."""
 
 
+def _record(*fields: object) -> str:
+    return hashlib.blake2b(json.dumps(fields).encode(), digest_size=16).hexdigest()
+
+
 class Store:
     """One database file. Opening it begins a new epoch, which is on disk before the first order."""
 
@@ -163,6 +172,27 @@
         rows = self._rows("select number, tree, user, what, until, back, persist from commits order by number")
         return [(number, json.loads(tree), *rest) for number, tree, *rest in rows]
 
+    def version(self, number: int, epoch: int, at: int, cause: str, changes: list[Any]) -> None:
+        """One version of the tables by its changes; a digest over the record finds flipped bytes at the next start."""
+        text = json.dumps(changes, separators=(",", ":"))
+        sql = "insert or replace into versions values (?, ?, ?, ?, ?, ?)"
+        self._put(sql, number, epoch, at, cause, text, _record(number, epoch, at, cause, text))
+        if number % 256 == 0:
+            self._put(f"delete from versions where number <= {number - 2 * VERSIONS_KEPT}")
+
+    def versions(self) -> list[tuple[int, int, int, str, list[Any]]]:
+        """The longest run of sound records up to the last, oldest first. What was lost is added to `notes`."""
+        rows = self._rows("select number, epoch, at, cause, changes, digest from versions order by number")
+        sound: list[tuple[int, int, int, str, list[Any]]] = []
+        for number, epoch, at, cause, text, digest in rows:
+            if digest != _record(number, epoch, at, cause, text):
+                self.notes.append(
+                    f"version {number} of the tables is damaged; it and {len(rows) - len(sound) - 1} more are not used"
+                )
+                break
+            sound.append((number, epoch, at, cause, json.loads(text)))
+        return sound
+
     def keep(self, name: str, value: object) -> None:
         """One value by name. Raises Unusable."""
         self.now("insert or replace into meta values (?, ?)", name, json.dumps(value, sort_keys=True))
--- a/onyxhead/tables/orders.py
+++ b/onyxhead/tables/orders.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
 import onyxhead.interface as say
@@ -15,6 +15,9 @@
 """A listed weight of 1 in a line's weight; lines carry whole numbers, as the published formats do."""
 
 
+Write = Callable[[Iterable[int], Path, Leaf | None], None]
+
+
 class Place(NamedTuple):
     """Where a backend answers, as discovery last told it."""
 
@@ -48,6 +51,9 @@
         self.groups, self.throttle, self.head, self.epoch = groups, throttle, head, epoch
         self.places: dict[str, Place] = {}
         self.tables: dict[int, dict[str, int]] = {}
+        self.revision = 0
+        self.wanted: dict[tuple[int, str], int] = {}
+        self.hold: Callable[[Mapping[tuple[int, str], int]], dict[tuple[int, str], int]] | None = None
         self.levels: dict[tuple[int, int], Leaf] = {}
         self.withdrawn: dict[str, None] = {}
         self.views: dict[int, View] = {}
@@ -65,8 +71,7 @@
             users.discard(proxy)
 
     def name(self, table: int) -> str:
-        # Two controllers number their tables alike; a proxy that moves must not take one for the other.
-        return f"{self.epoch}.{table}"
+        return f"t{table}"
 
     def messages(self, turn: int, decisions: Iterable[say.Decision]) -> list[Message]:
         """One message for each proxy concerned, in the order in which the module first named them."""
@@ -92,14 +97,21 @@
                         self.withdrawn.pop(backend, None)
                     write(self.views, ("withdrawn", backend), True if shut else None)
                 case say.TableChange(table, changed):
-                    held = self.tables.setdefault(table, {})
+                    self.tables.setdefault(table, {})
                     for backend, weight in changed:
                         parts = max(1, round(weight * PARTS)) if weight > 0 else 0
-                        held.pop(backend, None)
+                        self.wanted.pop((table, backend), None)
                         if parts:
-                            held[backend] = parts
-                        path = ("tables", self.name(table), "lines", backend)
-                        write(self.users.get(table, ()), path, self._line(backend, parts) if parts else None)
+                            self.wanted[table, backend] = parts
+                        if self.hold is None:
+                            self._put(table, backend, parts, write)
+                    if self.hold is not None:
+                        # While tables are held, a wish goes out only as far as what holds them lets it.
+                        target = self.hold(self.wanted)
+                        for backend, _ in changed:
+                            parts = target.get((table, backend), 0)
+                            if parts != self.tables[table].get(backend, 0):
+                                self._put(table, backend, parts, write)
                 case say.Admission(table, groups, level, tries):
                     for group in groups:
                         leaf = self.levels[table, group] = self._level(level, tries)
@@ -124,6 +136,48 @@
             for proxy in changes
         ]
 
+    def _put(self, table: int, backend: str, parts: int, write: Write) -> None:
+        held = self.tables[table]
+        self.revision += 1
+        held.pop(backend, None)
+        if parts:
+            held[backend] = parts
+        path = ("tables", self.name(table), "lines", backend)
+        write(self.users.get(table, ()), path, self._line(backend, parts) if parts else None)
+
+    def sent(self) -> dict[tuple[int, str], int]:
+        """All lines as proxies hold or will hold them."""
+        return {(table, backend): parts for table, lines in self.tables.items() for backend, parts in lines.items()}
+
+    def unsettled(self) -> list[tuple[tuple[int, str], int]]:
+        """Lines that should be other than they are sent, because tables are held or were: what adds weight first, so
+        that no table runs out of lines on the way."""
+        target = self.wanted if self.hold is None else self.hold(self.wanted)
+        sent = self.sent()
+        found = [(key, target.get(key, 0)) for key in {*target, *sent} if target.get(key, 0) != sent.get(key, 0)]
+        return sorted(found, key=lambda each: (each[1] <= sent.get(each[0], 0), each[0]))
+
+    def settle(self, room: float) -> list[Message]:
+        """Messages that bring lines to what they should be, as many as fit the room, in lines; under no turn."""
+        changes: dict[int, dict[Path, Leaf | None]] = {}
+
+        def write(proxies: Iterable[int], path: Path, leaf: Leaf | None) -> None:
+            for proxy in proxies:
+                changes.setdefault(proxy, {})[path] = leaf
+
+        for (table, backend), parts in self.unsettled():
+            users = self.users.get(table, set())
+            room -= len(users) + sum(self.head + 1 for proxy in users if proxy not in changes)
+            if room < 0:
+                break
+            self.wholes.clear()
+            self.tables.setdefault(table, {})
+            self._put(table, backend, parts, write)
+        known: dict[tuple[object, ...], View] = {}
+        return [
+            self._message(proxy, 0, own, False, self.head + len(own), False, known) for proxy, own in changes.items()
+        ]
+
     def bound(self, proxy: int) -> list[int]:
         return [table for table, users in self.users.items() if proxy in users]
 
@@ -144,6 +198,11 @@
         base = self.views[proxy]
         if whole:
             result = self._whole(proxy, {p: v for p, v in changes.items() if p[0] == "bindings"})
+            # Each line halts the proxy. What it holds already, from whichever controller, need not be sent again: it
+            # told its view at the join, and the digest of the result proves that nothing else is in it.
+            delta = base.changes_to(result)
+            if len(delta) < len(result.leaves):
+                whole, changes, lines = False, delta, min(lines, self.head + len(delta))
         else:
             # Proxies that share tables mostly share the change too; it is then worked out once for all.
             key = (id(base), *((path, id(leaf)) for path, leaf in changes.items()))
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -45,7 +45,7 @@
         taken = keeper.take(request)
         assert isinstance(taken, Taken) and taken.turn == turn
         assert keeper.applied(taken).headers["etag"] == taken.view.tag
-    assert set(keeper.view.kind("tables", "3.0", "lines")) == {"b0", "b1", "b2"}
+    assert set(keeper.view.kind("tables", "t0", "lines")) == {"b0", "b1", "b2"}
 
 
 def changed(request: Request, **headers: str) -> Request:
--- /dev/null
+++ b/tests/test_history.py
@@ -0,0 +1,239 @@
+"""Versions of tables, and the way back: cores, the house, the store, the command."""
+
+from __future__ import annotations
+
+import sqlite3
+from pathlib import Path
+from random import Random
+
+import pytest
+from click.testing import CliRunner
+from immutables import Map
+
+from onyxhead.cli.main import main
+from onyxhead.controller.ways import run as ask
+from onyxhead.store.store import Store
+from onyxhead.tables.history import History, Refused, Truth, Unknown, diff, overlay, plan
+from onyxhead.tables.view import MODULUS, leaf_hash
+from tests.fleetrig import SECOND, Rig
+from tests.test_sockets import Running, list_of, play, port_of, shown, until
+
+FULL = 1_000_000
+
+
+def test_generated_histories_are_what_a_plain_model_says() -> None:
+    chance, own, plain = Random(3), History(), list[dict[tuple[int, str], int]]()
+    for step in range(400):
+        changes = {(chance.randrange(3), f"b{chance.randrange(9)}"): chance.choice((0, 1, 2)) for _ in range(3)}
+        before = plain[-1] if plain else {}
+        after = {key: parts for key, parts in {**before, **changes}.items() if parts}
+        version = own.append(1, step, "x", changes)
+        assert (version is None) == (after == before)
+        if version is not None:
+            plain.append(after)
+            assert dict(version.lines) == after and version.number == len(plain)
+            assert version.digest == sum(leaf_hash((str(t), b), n) for (t, b), n in after.items()) % MODULUS
+    one, two = own.find("5"), own.find("80")
+    assert {key: new for key, _, new in diff(one.lines, two.lines)} == {
+        key: plain[79].get(key, 0) for key in {*plain[4], *plain[79]} if plain[4].get(key, 0) != plain[79].get(key, 0)
+    }
+    for version, lines in own.blame("b1"):
+        assert all(key[1] == "b1" and old != new for key, old, new in lines)
+        assert version.lines != own.find(str(version.number - 1)).lines if version.number > 1 else True
+
+
+def test_old_versions_go_and_labelled_ones_stay() -> None:
+    own = History(kept=5)
+    for step in range(20):
+        own.append(1, step, "", {(0, "b"): step + 1})
+        if step == 3:
+            own.label("good", 4)
+    assert own.find("good").number == 4 and len(own.versions) == 6
+    for name in ("5", "99", "none"):
+        with pytest.raises(Unknown):
+            own.find(name)
+    for bad in ("", "7", "last"):
+        with pytest.raises(ValueError, match="label"):
+            own.label(bad, 20)
+
+
+def lines(**weights: int) -> dict[tuple[int, str], int]:
+    return {(0, name): parts for name, parts in weights.items()}
+
+
+def version_of(at: int, **weights: int) -> History:
+    own = History()
+    own.append(1, at, "", lines(**weights))
+    return own
+
+
+def test_a_rollback_is_filtered_through_what_is_true_now() -> None:
+    version = version_of(100, a=FULL, gone=FULL, cold=FULL, young=FULL).last
+    truth = Truth({"a": 0, "cold": None, "young": 150, "new": 0})
+    now = lines(a=1, cold=5, young=9, new=FULL)
+    back = plan(version, now, now, truth)
+    assert back.lines == lines(a=FULL, cold=5, young=9)
+    assert back.left == {
+        "gone": "gone or draining", "cold": "started since; it keeps its ramp", "young": "started since; it keeps its ramp",
+    }
+
+
+def test_a_rollback_that_would_break_a_rule_or_has_nothing_to_do_is_refused_plainly() -> None:
+    version = version_of(100, a=FULL, b=FULL).last
+    now = lines(a=1, c=FULL)
+    with pytest.raises(Refused, match="no backend of version 1 still serves"):
+        plan(version, now, now, Truth({"c": 0}))
+    with pytest.raises(Refused, match="as in version 1 already"):
+        plan(version, now, lines(a=FULL, b=FULL), Truth({"a": 0, "b": 0}))
+    two = now | {(1, "c"): FULL}
+    with pytest.raises(Refused, match="table 1 would be left with no warm backend"):
+        plan(version, two, two, Truth({"a": 0, "b": 0, "c": 0}))
+    assert overlay(Map(), now, Truth({}), 0, [0]) == {}
+
+
+# In the house
+
+
+def rolled(rig: Rig, version: str = "1", seconds: float = 60.0) -> None:
+    rig.house.roll_back(rig.now, version, seconds)
+
+
+def worsened() -> Rig:
+    """All proxies on a table in which somebody has made b1 and b2 carry nearly nothing."""
+    rig = Rig(proxies=4)
+    rig.run(2)
+    import onyxhead.interface as say
+
+    messages = rig.house.books.messages(0, [say.TableChange(0, (("b1", 0.001), ("b2", 0.001)))])
+    for message in messages:
+        rig.house._send(rig.now, message)
+    rig.run(0.5)
+    assert rig.lines("p0")["b1"] == 1000
+    return rig
+
+
+def test_a_wrong_table_is_undone_on_all_proxies_at_once_and_held_until_released() -> None:
+    rig = worsened()
+    rolled(rig)
+    rig.run(1)
+    assert all(rig.lines(name) == {f"b{n}": FULL for n in range(6)} for name in rig.keepers)
+    with pytest.raises(Refused, match="already"):
+        rolled(rig)
+    rig.set("b3", "draining")
+    rig.run(1)
+    assert all(set(rig.lines(name)) == {"b0", "b1", "b2", "b4", "b5"} for name in rig.keepers)
+    assert rig.house.release(rig.now, "test") and not rig.house.release(rig.now, "again")
+    rig.run(1)
+    assert rig.lines("p0")["b1"] == 1000 and "b3" not in rig.lines("p0")
+
+
+def test_held_tables_let_newcomers_in_by_their_ramp_and_end_by_themselves() -> None:
+    rig = worsened()
+    rolled(rig, seconds=5.0)
+    rig.set("b7", "ready")
+    rig.run(3)
+    assert 0 < rig.lines("p0")["b7"] <= FULL // 3 and rig.lines("p0")["b1"] == FULL
+    rig.run(4)
+    assert rig.house.pin is None and rig.lines("p0")["b1"] == 1000
+    rig.join("p9")
+    rig.run(1)
+    assert rig.lines("p9") == rig.lines("p0")
+
+
+def test_a_rollback_in_the_middle_of_another_holds_the_later_one() -> None:
+    rig = worsened()
+    rolled(rig)
+    rig.step()
+    rolled(rig, "2")
+    rig.run(1)
+    assert rig.house.pin is not None and rig.house.pin.version.number == 2 and rig.lines("p0")["b1"] == 1000
+
+
+def test_a_rollback_at_size_goes_out_within_the_channels_share() -> None:
+    rig = Rig(backends=60, proxies=30, lines_per_s=3000.0, most_waiting=3000.0)
+    rig.run(4)
+    import onyxhead.interface as say
+
+    first = rig.house.history.last.number
+    changed = tuple((f"b{n}", 0.5) for n in range(50))
+    for message in rig.house.books.messages(0, [say.TableChange(0, changed)]):
+        rig.house._send(rig.now, message)
+    rig.run(2)
+    rolled(rig, str(first))
+    rig.most = 0.0
+    rig.run(3)
+    assert rig.most <= 0.5 * 3000 and all(rig.lines(n)["b1"] == FULL for n in rig.keepers)
+
+
+def test_questions_are_answered_in_plain_values() -> None:
+    rig = worsened()
+    house, now = rig.house, rig.now
+
+    def to(what: str, **given: object) -> object:
+        return ask(house, now, what, given, lambda _: None)
+
+    assert [row["version"] for row in to("log")] == [2, 1]  # type: ignore[attr-defined]
+    assert to("diff", one=1, two=2)[0] == {"table": 0, "backend": "b1", "before": FULL, "after": 1000}  # type: ignore[index]
+    assert to("label", label="good", version=1) and to("show", version="good")["tables"]["0"]["b1"] == FULL  # type: ignore[index]
+    assert len(to("blame", backend="b1")) == 2  # type: ignore[arg-type]
+    assert to("preview", version="good")["lines"] == 2 and house.pin is None  # type: ignore[index]
+    for what, given in (("rollback", {"version": "1", "seconds": -1}), ("what", {}), ("show", {})):
+        with pytest.raises((ValueError, KeyError)):
+            to(what, **given)
+
+
+# On disk
+
+
+def test_the_longest_run_of_sound_versions_is_used_and_what_was_lost_is_told(tmp_path: Path) -> None:
+    own = Store(tmp_path)
+    for number in range(1, 9):
+        own.version(number, 1, number * 10, "x", [[0, "b", number]])
+    own.close()
+    again = Store(tmp_path)
+    assert [row[0] for row in again.versions()] == list(range(1, 9)) and not again.notes
+    again.close()
+    with sqlite3.connect(tmp_path / "onyxhead.db") as db:
+        db.execute("update versions set changes = replace(changes, '6', '7') where number = 6")
+    broken = Store(tmp_path)
+    assert [row[0] for row in broken.versions()] == [1, 2, 3, 4, 5] and "version 6" in broken.notes[0]
+    broken.close()
+    history = History()
+    rows = [(1, 1, 0, "", lines(a=1)), (2, 1, 0, "", lines(a=2)), (4, 1, 0, "", lines(a=4))]
+    assert history.restore(rows) == 2 and dict(history.last.lines) == lines(a=2)
+
+
+def test_a_wrong_table_is_undone_by_command_over_sockets_and_versions_outlive_the_controller(tmp_path: Path) -> None:
+    async def work(running: Running) -> None:
+        import asyncio
+
+        controller = await running.controller()
+        await running.agent("p1", port_of(controller))
+        await until(lambda: len(shown(tmp_path, "p1")) == 3)
+        good = controller.house.history.last.number
+        entries = [{"id": f"b{n}", "address": f"127.0.0.1:{9000 + n}", "zone": "north", "weight": 1} for n in (1, 2, 3)]
+        list_of(tmp_path, 2, [entries[0] | {"weight": 0.01}, entries[1] | {"weight": 0.01}, entries[2]])
+        await until(lambda: '"load_balancing_weight":10000}' in (tmp_path / "p1" / "eds.json").read_text())
+        address = f"127.0.0.1:{port_of(controller)}"
+
+        async def command(*words: str) -> tuple[int, str]:
+            done = await asyncio.to_thread(CliRunner().invoke, main, [*words, address])
+            return done.exit_code, done.output
+
+        code, told = await command("tables", "rollback", "--dry-run", str(good))
+        assert code == 0 and "lines" in told
+        assert (await command("tables", "rollback", str(good)))[0] == 0
+        await until(lambda: '"load_balancing_weight":10000}' not in (tmp_path / "p1" / "eds.json").read_text())
+        assert (await command("tables", "rollback", str(good)))[0] == 1
+        assert (await command("tables", "rollback", "999"))[0] == 1
+        assert (await command("tables", "label", str(good), "good"))[0] == 0
+        code, told = await command("tables", "release")
+        assert code == 0 and told.endswith("released\n")
+        await until(lambda: '"load_balancing_weight":10000}' in (tmp_path / "p1" / "eds.json").read_text())
+        controller.over.set()
+        await until(lambda: running.tasks[0].done())
+        second = await running.controller()
+        assert second.house.history.find("good").number == good
+        assert second.house.history.last.number > good and SECOND == 10_000
+
+    play(tmp_path, work)
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -237,6 +237,19 @@
     assert rig.lines("p0") == rig.lines("p1") and "b2" not in rig.lines("p0")
 
 
+def test_a_proxy_that_comes_back_is_sent_only_the_lines_that_changed_meanwhile() -> None:
+    rig = Rig(backends=30, proxies=3)
+    rig.run(2)
+    rig.lose("p0")
+    rig.set("b7", "draining")
+    rig.run(2)
+    rig.join("p0")
+    sent = [each for _ in range(100) for each in rig.step().leaving if rig.name(each) == "p0"]
+    assert 0 < sum(each.lines for each in sent) < 30
+    assert rig.lines("p0") == rig.lines("p1") and len(rig.lines("p0")) == 29
+    assert rig.house.books.views[rig.house.number("p0")].tag == rig.keepers["p0"].view.tag
+
+
 def test_a_slow_proxy_delays_no_one_and_is_given_up() -> None:
     rig = Rig(proxies=4)
     rig.run(2)
@@ -289,7 +302,7 @@
     assert rig.house.books.withdrawn and rig.house.books.places["b1"] == Place("127.0.0.1:7777", ZONES[1])
     rig.run(3)
     held = rig.keepers["p0"].view
-    lines = held.kind("tables", "1.0", "lines")
+    lines = held.kind("tables", "t0", "lines")
     assert lines["b1"]["address"] == "127.0.0.1:7777" and lines["b1"]["weight"] < 1_000_000
 
 
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -77,7 +77,7 @@
     own.join(7, View.of({("standing", "b4"): line("b4")}))
     (message,) = own.messages(1, [say.Shutout("b1", True), say.Assignment(7, 0, ())])
     assert message.whole and message.lines == 6 + 1 + (1 + 2 + 1) + 1
-    assert message.result.kind("tables", "3.0", "lines")["b1"]["weight"] == 500_000
+    assert message.result.kind("tables", "t0", "lines")["b1"]["weight"] == 500_000
     assert message.result.kind("withdrawn") == {"b1": True} and not message.result.kind("standing")
 
 
@@ -98,6 +98,6 @@
     own = books()
     own.join(1, View.EMPTY)
     own.messages(1, [say.TableChange(0, (("b0", 1e-9),)), say.Assignment(1, 0, ())])
-    assert own.views[1].kind("tables", "3.0", "lines")["b0"]["weight"] == 1
+    assert own.views[1].kind("tables", "t0", "lines")["b0"]["weight"] == 1
     own.messages(2, [say.TableChange(0, (("b0", 0.0),))])
-    assert not own.views[1].kind("tables", "3.0", "lines")
+    assert not own.views[1].kind("tables", "t0", "lines")
