A version tried on a share of the proxies first, taken back where it does worse

Need: a table that may be wrong should not reach all proxies at once; the join storm of a lone survivor needed a test. Change: trials beside the held tables, judged by two proportions over enough flows; tables try.

--- a/onyxhead/cli/main.py
+++ b/onyxhead/cli/main.py
@@ -212,6 +212,19 @@
     shown(what, ask(address, f"/v1/tables/{what}", identity, {"version": version, "seconds": seconds}), as_json)
 
 
+@tables.command("try")
+@click.argument("version")
+@click.argument("address")
+@click.option("--share", default=0.1, show_default=True, help="Of the proxies, half at most.")
+@click.option("--seconds", default=600.0, show_default=True, help="How long it is tried before all hold it.")
+@AS_JSON
+@IDENTITY
+def tables_try(version: str, address: str, share: float, seconds: float, as_json: bool, identity: Path | None) -> None:
+    """Go back to VERSION on a share of the proxies first; it returns by itself where they lose more than the others."""
+    given = {"version": version, "share": share, "seconds": seconds}
+    shown("trial", ask(address, "/v1/tables/try", identity, given), as_json)
+
+
 @tables.command("release")
 @click.argument("address")
 @IDENTITY
--- a/onyxhead/controller/daemon.py
+++ b/onyxhead/controller/daemon.py
@@ -470,7 +470,7 @@
             given = request.json() if request.body else {}
             if not isinstance(given, dict):
                 raise ValueError("not an object")
-            if what in ("rollback", "release", "label"):
+            if what in ("rollback", "try", "release", "label"):
                 if request.method != "POST":
                     return problem(405, f"{what} is asked for by POST")
                 log.info("tables", asked=what, **{name: given.get(name) for name in ("version", "label", "seconds")})
--- a/onyxhead/controller/house.py
+++ b/onyxhead/controller/house.py
@@ -17,7 +17,8 @@
 from onyxhead.controller.door import Door
 from onyxhead.controller.roster import Followed
 from onyxhead.controller.sums import Gate, Gathered, Report
-from onyxhead.tables.history import Back, History, Key, Pin, Truth, Version, plan
+from onyxhead.tables.canary import Canary, Verdict, chosen
+from onyxhead.tables.history import Back, History, Key, Pin, Refused, Truth, Unknown, Version, plan
 from onyxhead.tables.orders import Books, Message
 from onyxhead.tables.view import View
 
@@ -111,6 +112,7 @@
             if (version := self.history.append(epoch, now, "restart", gone)) is not None:
                 self.fresh_versions.append((version, gone))
         self.pin: Pin | None = None
+        self.canary: Canary | None = None
         self.group_numbers = {name: place for place, name in enumerate(groups)}
 
     # What is heard
@@ -208,6 +210,10 @@
             return False
         zone = self.joined[proxy].zone
         self.gathered.add(zone, proxy, report, self.by_address, self.group_numbers)
+        # What was counted before the trial's lines were in force says nothing about them.
+        if self.canary is not None and now - self.canary.since > 2 * self.start.report_every:
+            met = report.met.values()
+            self.canary.count(name, sum(each.tries for each in met), sum(each.bad for each in met))
         return True
 
     def probed(self, now: int, backend: str, sight: say.Sight, busy: float | None) -> None:
@@ -300,25 +306,70 @@
         """Holds the tables as in a version for so long. Withdrawals and levels go on. Raises Refused, Unknown."""
         back, _ = self.preview(now, name)
         self.pin = pin = Pin(self.history.find(name), now + round(seconds * 10_000))
-        self.books.hold = lambda wanted: pin.target(wanted, self.truth(self.at))
+        self.books.main.hold = lambda wanted: pin.target(wanted, self.truth(self.at))
+        self.unsettled = True
         self._cause(f"rolled back to version {back.version}")
         return back
 
     def release(self, now: int, why: str) -> bool:
         """Follows the module again; its lines are sent as the channel has room. False if nothing was held."""
-        held, self.pin, self.books.hold = self.pin is not None, None, None
+        held, self.pin, self.books.main.hold = self.pin is not None, None, None
         if held:
             self._cause(f"released: {why}")
         return held
 
+    def try_version(self, now: int, name: str, share: float, seconds: float) -> tuple[Back, Canary]:
+        """Holds a share of the proxies as in a version; worse than the others, it is taken back, else it is held for
+        all when the time is over. Raises Refused, Unknown."""
+        if self.canary is not None:
+            raise Refused(f"version {self.canary.version} is on trial already")
+        back, _ = self.preview(now, name)
+        bound = {known.name: number for number, known in self.joined.items() if self.books.bound(number)}
+        names = chosen(bound, share)
+        if not names:
+            raise Refused("a trial needs two proxies at least")
+        pin = Pin(self.history.find(name), now + round(seconds * 10_000))
+        self.canary = canary = Canary(back.version, frozenset(names), now, pin.until)
+        self.books.begin_trial(
+            frozenset(bound[name] for name in names), lambda wanted: pin.target(wanted, self.truth(self.at))
+        )
+        self.unsettled = True
+        self._cause(f"version {back.version} is tried on {len(names)} of {len(bound)} proxies")
+        return back, canary
+
+    def _judge_trial(self, now: int) -> None:
+        if (canary := self.canary) is None:
+            return
+        verdict = canary.verdict()
+        if verdict is not Verdict.WORSE and now < canary.until:
+            return
+        self.canary = None
+        self.books.end_trial()
+        self.unsettled = True
+        told = f"version {canary.version} on trial: {verdict.value}"
+        told += f" ({canary.tried.bad}/{canary.tried.tries} failed, elsewhere {canary.rest.bad}/{canary.rest.tries})"
+        if verdict is Verdict.FINE:
+            try:
+                self.roll_back(now, str(canary.version), (canary.until - canary.since) / 10_000)
+                told += "; held for all"
+            except (Refused, Unknown) as error:
+                told += f"; not held for all: {error}"
+        self.work.remarks.append(told)
+        self._cause(told)
+
     def _settle(self, now: int) -> None:
         self.at = now
-        if self.pin is None and not self.unsettled:
+        self._judge_trial(now)
+        if self.pin is None and self.canary is None and not self.unsettled:
             return
         room = SETTLE_SHARE * self.channel.limits.most_waiting - self.channel.waiting
         for message in self.books.settle(room):
             self._send(now, message)
-        self.unsettled = self.pin is not None or bool(self.books.unsettled())
+        left = self.books.unsettled()
+        if self.canary is None and not any(own is self.books.trial for own, _, _ in left):
+            # Those that were on trial hold what all others hold, and are like all others again.
+            self.books.apart = frozenset()
+        self.unsettled = self.pin is not None or bool(left) or bool(self.books.apart)
         self._remember(now, "held tables" if self.pin is not None else "released tables")
 
     def _send(self, now: int, message: Message) -> None:
@@ -353,6 +404,7 @@
                 "peak": round(self.channel.peak, 1),
             },
             "version": self.history.last.number,
+            "trial": self.canary.version if self.canary is not None else None,
             "held": self.pin.version.number if self.pin is not None else None,
             "counts": dict(sorted(self.counts.items())) | {"tries at unknown": self.gathered.unknown},
             "proxies": {
--- a/onyxhead/controller/ways.py
+++ b/onyxhead/controller/ways.py
@@ -54,8 +54,16 @@
                 "channel_s": round(seconds, 3),
                 "hold_s": hold,
             }
+        case "try":
+            hold, share = float(given.get("seconds", USUAL)), float(given.get("share", 0.1))
+            if not 0 < hold <= LONGEST or not 0 < share <= 0.5:
+                raise ValueError(f"a trial takes 0 to {LONGEST:.0f} seconds and up to half of the proxies")
+            back, canary = house.try_version(now, str(given["version"]), share, hold)
+            return _back(back) | {"proxies": sorted(canary.proxies), "seconds": hold}
         case "release":
-            return {"released": house.release(now, "asked for")}
+            tried, house.canary = house.canary is not None, None
+            house.books.end_trial()
+            return {"released": house.release(now, "asked for") or tried}
     raise ValueError(f"there is no {what!r}")
 
 
--- a/onyxhead/tables/orders.py
+++ b/onyxhead/tables/orders.py
@@ -41,6 +41,21 @@
         return self.result.document() if self.whole else nested(self.changes)
 
 
+Key = tuple[int, str]
+Hold = Callable[[Mapping[Key, int]], dict[Key, int]]
+
+
+class Lines:
+    """Lines as sent to some of the proxies, and what holds them against the module's wishes, if anything does."""
+
+    def __init__(self) -> None:
+        self.tables: dict[int, dict[str, int]] = {}
+        self.hold: Hold | None = None
+
+    def sent(self) -> dict[Key, int]:
+        return {(table, backend): parts for table, lines in self.tables.items() for backend, parts in lines.items()}
+
+
 class Books:
     """Tables, levels and withdrawals of one controller, and the view of each joined proxy.
 
@@ -50,16 +65,33 @@
     def __init__(self, groups: tuple[str, ...], throttle: say.Throttle, head: float, epoch: int) -> None:
         self.groups, self.throttle, self.head, self.epoch = groups, throttle, head, epoch
         self.places: dict[str, Place] = {}
-        self.tables: dict[int, dict[str, int]] = {}
+        self.main, self.trial = Lines(), Lines()
+        self.apart: frozenset[int] = frozenset()  # proxies that use the trial's lines
         self.revision = 0
-        self.wanted: dict[tuple[int, str], int] = {}
-        self.hold: Callable[[Mapping[tuple[int, str], int]], dict[tuple[int, str], int]] | None = None
+        self.wanted: dict[Key, int] = {}
         self.levels: dict[tuple[int, int], Leaf] = {}
         self.withdrawn: dict[str, None] = {}
         self.views: dict[int, View] = {}
         self.users: dict[int, set[int]] = {}
         self.wholes: dict[tuple[object, ...], View] = {}
 
+    @property
+    def tables(self) -> dict[int, dict[str, int]]:
+        """Lines by table, as sent to all proxies but those on trial."""
+        return self.main.tables
+
+    def lines_for(self, proxy: int) -> Lines:
+        return self.trial if proxy in self.apart else self.main
+
+    def begin_trial(self, proxies: frozenset[int], hold: Hold) -> None:
+        """From now on these proxies' lines are held apart from all others'."""
+        self.trial.tables = {table: dict(lines) for table, lines in self.main.tables.items()}
+        self.apart, self.trial.hold = proxies, hold
+
+    def end_trial(self) -> None:
+        """The proxies go back to what all others have, as the channel has room; then they are like all others."""
+        self.trial.hold = lambda _: self.main.sent()
+
     def join(self, proxy: int, held: View) -> None:
         """The proxy told what it holds; until it is bound here its own tables go on serving."""
         self.leave(proxy)
@@ -97,21 +129,19 @@
                         self.withdrawn.pop(backend, None)
                     write(self.views, ("withdrawn", backend), True if shut else None)
                 case say.TableChange(table, changed):
-                    self.tables.setdefault(table, {})
                     for backend, weight in changed:
                         parts = max(1, round(weight * PARTS)) if weight > 0 else 0
                         self.wanted.pop((table, backend), None)
                         if parts:
                             self.wanted[table, backend] = parts
-                        if self.hold is None:
-                            self._put(table, backend, parts, write)
-                    if self.hold is not None:
+                    for own in (self.main, self.trial) if self.apart else (self.main,):
+                        held = own.tables.setdefault(table, {})
                         # While tables are held, a wish goes out only as far as what holds them lets it.
-                        target = self.hold(self.wanted)
+                        target = self.wanted if own.hold is None else own.hold(self.wanted)
                         for backend, _ in changed:
                             parts = target.get((table, backend), 0)
-                            if parts != self.tables[table].get(backend, 0):
-                                self._put(table, backend, parts, write)
+                            if own.hold is None or parts != held.get(backend, 0):
+                                self._put(own, table, backend, parts, write)
                 case say.Admission(table, groups, level, tries):
                     for group in groups:
                         leaf = self.levels[table, group] = self._level(level, tries)
@@ -126,9 +156,9 @@
                     self.users.setdefault(table, set()).add(proxy)
                     for group in groups or range(len(self.groups)):
                         changes[proxy]["bindings", self.groups[group]] = self.name(table)
-                    kept = set(self.tables.get(table, {})) & set(self.withdrawn)
-                    own = sum(1 for held_table, _ in self.levels if held_table == table)
-                    cost = 1 + len(self.tables.get(table, {})) + own + len(kept)
+                    serving = self.lines_for(proxy).tables.get(table, {})
+                    gates = sum(1 for held_table, _ in self.levels if held_table == table)
+                    cost = 1 + len(serving) + gates + len(set(serving) & set(self.withdrawn))
                     lines[proxy] = lines.get(proxy, self.head) + cost
         known: dict[tuple[object, ...], View] = {}
         return [
@@ -136,26 +166,34 @@
             for proxy in changes
         ]
 
-    def _put(self, table: int, backend: str, parts: int, write: Write) -> None:
-        held = self.tables[table]
+    def _put(self, own: Lines, table: int, backend: str, parts: int, write: Write) -> None:
+        held = own.tables.setdefault(table, {})
         self.revision += 1
         held.pop(backend, None)
         if parts:
             held[backend] = parts
         path = ("tables", self.name(table), "lines", backend)
-        write(self.users.get(table, ()), path, self._line(backend, parts) if parts else None)
+        write(self._users(own, table), path, self._line(backend, parts) if parts else None)
 
-    def sent(self) -> dict[tuple[int, str], int]:
-        """All lines as proxies hold or will hold them."""
-        return {(table, backend): parts for table, lines in self.tables.items() for backend, parts in lines.items()}
+    def _users(self, own: Lines, table: int) -> list[int]:
+        users = self.users.get(table, set())
+        return [proxy for proxy in users if (proxy in self.apart) == (own is self.trial)]
+
+    def sent(self) -> dict[Key, int]:
+        """All lines as proxies hold or will hold them, but for those on trial."""
+        return self.main.sent()
 
-    def unsettled(self) -> list[tuple[tuple[int, str], int]]:
+    def unsettled(self) -> list[tuple[Lines, Key, int]]:
         """Lines that should be other than they are sent, because tables are held or were: what adds weight first, so
         that no table runs out of lines on the way."""
-        target = self.wanted if self.hold is None else self.hold(self.wanted)
-        sent = self.sent()
-        found = [(key, target.get(key, 0)) for key in {*target, *sent} if target.get(key, 0) != sent.get(key, 0)]
-        return sorted(found, key=lambda each: (each[1] <= sent.get(each[0], 0), each[0]))
+        found: list[tuple[bool, Key, int, Lines]] = []
+        for own in (self.main, self.trial) if self.apart else (self.main,):
+            target, sent = self.wanted if own.hold is None else own.hold(self.wanted), own.sent()
+            for key in {*target, *sent}:
+                parts = target.get(key, 0)
+                if parts != sent.get(key, 0):
+                    found.append((parts <= sent.get(key, 0), key, parts, own))
+        return [(own, key, parts) for _, key, parts, own in sorted(found, key=lambda each: each[:3])]
 
     def settle(self, room: float) -> list[Message]:
         """Messages that bring lines to what they should be, as many as fit the room, in lines; under no turn."""
@@ -165,17 +203,17 @@
             for proxy in proxies:
                 changes.setdefault(proxy, {})[path] = leaf
 
-        for (table, backend), parts in self.unsettled():
-            users = self.users.get(table, set())
+        for own, (table, backend), parts in self.unsettled():
+            users = self._users(own, table)
             room -= len(users) + sum(self.head + 1 for proxy in users if proxy not in changes)
             if room < 0:
                 break
             self.wholes.clear()
-            self.tables.setdefault(table, {})
-            self._put(table, backend, parts, write)
+            self._put(own, table, backend, parts, write)
         known: dict[tuple[object, ...], View] = {}
         return [
-            self._message(proxy, 0, own, False, self.head + len(own), False, known) for proxy, own in changes.items()
+            self._message(proxy, 0, own_changes, False, self.head + len(own_changes), False, known)
+            for proxy, own_changes in changes.items()
         ]
 
     def bound(self, proxy: int) -> list[int]:
@@ -211,13 +249,13 @@
         return Message(proxy, turn, whole, base.tag, result, changes, lines + 1, urgent)
 
     def _whole(self, proxy: int, bindings: dict[Path, Leaf | None]) -> View:
-        key = tuple(sorted(bindings.items()))
+        key = (proxy in self.apart, *sorted(bindings.items()))
         if (known := self.wholes.get(key)) is not None:
             return known
         leaves: dict[Path, Leaf] = dict(bindings)
         for table in self.bound(proxy):
             name = self.name(table)
-            for backend, parts in self.tables.get(table, {}).items():
+            for backend, parts in self.lines_for(proxy).tables.get(table, {}).items():
                 leaves["tables", name, "lines", backend] = self._line(backend, parts)
                 if backend in self.withdrawn:
                     leaves["withdrawn", backend] = True
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -165,6 +165,84 @@
     assert rig.most <= 0.5 * 3000 and all(rig.lines(n)["b1"] == FULL for n in rig.keepers)
 
 
+def report(rig: Rig, number: int, **bad: int) -> None:
+    """Every proxy tells of 40 tries, of which so many failed."""
+    from onyxhead.controller import sums
+
+    for name in rig.keepers:
+        met = {"127.0.0.1:9001": sums.Met(40, bad.get(name, 1), 400.0, SECOND)}
+        rig.house.summed(rig.now, name, "x", number, sums.Report(met, {}))
+
+
+def on_trial(seconds: float = 20.0) -> tuple[Rig, str, list[str]]:
+    """A version tried on one of four proxies."""
+    rig = worsened()
+    _, canary = rig.house.try_version(rig.now, "1", 0.25, seconds)
+    (name,) = canary.proxies
+    rig.run(2.5)
+    return rig, name, [other for other in rig.keepers if other != name]
+
+
+def test_a_trial_reaches_its_share_of_the_proxies_only() -> None:
+    rig, name, others = on_trial()
+    assert rig.lines(name)["b1"] == FULL and all(rig.lines(other)["b1"] == 1000 for other in others)
+    rig.set("b4", "draining")
+    rig.run(1)
+    assert all("b4" not in rig.lines(each) for each in rig.keepers)
+    rig.lose(name)
+    rig.join(name)
+    rig.run(1)
+    assert rig.lines(name)["b1"] == FULL
+    with pytest.raises(Refused, match="on trial already"):
+        rig.house.try_version(rig.now, "1", 0.25, 5.0)
+
+
+def test_a_trial_that_loses_more_than_chance_is_taken_back_by_itself() -> None:
+    rig, name, _ = on_trial()
+    for number in range(4):
+        report(rig, number, **{name: 20})
+        rig.run(0.5)
+    rig.run(1)
+    assert rig.house.canary is None and rig.house.pin is None and not rig.house.books.apart
+    assert rig.lines(name)["b1"] == 1000
+    assert any("worse than the others" in told for work in rig.works for told in work.remarks)
+
+
+def test_a_handful_of_flows_decides_nothing_and_does_not_promote() -> None:
+    rig, name, others = on_trial(seconds=6.0)
+    report(rig, 1, **{name: 40})
+    rig.run(1)
+    assert rig.house.canary is not None
+    rig.run(6)
+    assert rig.house.canary is None and rig.lines(name)["b1"] == 1000 == rig.lines(others[0])["b1"]
+
+
+def test_a_trial_that_does_no_worse_is_held_for_all_in_the_end() -> None:
+    rig, name, others = on_trial(seconds=6.0)
+    for number in range(4):
+        report(rig, number)
+        rig.run(0.5)
+    assert rig.house.canary is not None
+    rig.run(4)
+    assert rig.house.canary is None and rig.house.pin is not None and not rig.house.books.apart
+    assert all(rig.lines(each)["b1"] == FULL for each in [name, *others])
+
+
+def test_a_fair_trial_is_seldom_taken_back_and_a_bad_one_soon() -> None:
+    from onyxhead.tables.canary import Canary, Verdict
+
+    chance, wrong, late = Random(4), 0, 0
+    for _ in range(300):
+        fair, poor = (Canary(1, frozenset({"a"}), 0, 1) for _ in range(2))
+        for _ in range(30):
+            for each, loss in ((fair, 0.05), (poor, 0.25)):
+                each.count("a", 20, sum(chance.random() < loss for _ in range(20)))
+                each.count("z", 80, sum(chance.random() < 0.05 for _ in range(80)))
+            wrong += fair.verdict() is Verdict.WORSE
+        late += poor.verdict() is not Verdict.WORSE
+    assert late == 0 and wrong < 0.01 * 300 * 30
+
+
 def test_questions_are_answered_in_plain_values() -> None:
     rig = worsened()
     house, now = rig.house, rig.now
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -237,6 +237,33 @@
     assert rig.lines("p0") == rig.lines("p1") and "b2" not in rig.lines("p0")
 
 
+def test_a_survivor_that_gets_a_hundred_proxies_in_a_deploy_keeps_drains_within_the_grace() -> None:
+    way = {"lines_per_s": 1050.0, "most_waiting": 2100.0}
+    first = Rig(backends=60, **way)
+    for number in range(100):
+        first.keepers[f"p{number}"] = Keeper(View.of({("standing", "b0"): line("b0")}))
+        first.join(f"p{number}")
+    first.run(90)
+    assert all(len(first.lines(name)) == 60 for name in first.keepers)
+    second = Rig(backends=60, **way)
+    second.run(2)
+    second.keepers = first.keepers
+    for name in second.keepers:
+        second.join(name)
+    for number in range(10):
+        second.set(f"b{number}", "draining")
+    grace = second.start.guards.drain_grace / SECOND
+    second.run(grace - 0.05)
+    late = {name for name in second.keepers if set(second.lines(name)) & {f"b{n}" for n in range(10)}}
+    assert not late and second.most <= 2100
+    for number in range(10, 15):
+        second.set(f"b{number}", "draining")
+    second.run(grace - 0.05)
+    assert not any(set(second.lines(name)) & {f"b{n}" for n in range(15)} for name in second.keepers)
+    second.run(12)
+    assert all(len(second.lines(name)) == 45 for name in second.keepers)
+
+
 def test_a_proxy_that_comes_back_is_sent_only_the_lines_that_changed_meanwhile() -> None:
     rig = Rig(backends=30, proxies=3)
     rig.run(2)
