What one agent or controller answers ends its own stream and nothing else

Cause: an unforeseen fault in one proxy's stream ended the whole controller; an agent ended on an answer of the wrong type. Change: such faults are logged and end that stream; the agent asks the next controller. Result: tests with an unforeseen error in a stream and five wrong answers to a join.

--- a/onyxhead/agent/daemon.py
+++ b/onyxhead/agent/daemon.py
@@ -19,7 +19,6 @@
 from onyxhead.agent.keeper import Keeper, Taken, Torn, read_state, state_of
 from onyxhead.agent.swap import NotSwapped, clear, swap
 from onyxhead.fleet.dial import Dialer
-from onyxhead.fleet.fence import Fenced
 from onyxhead.fronts.files import envoy, nginx
 from onyxhead.fronts.files.push import VIEW
 from onyxhead.http.client import Connection, ask_once
@@ -256,7 +255,7 @@
                     told = await self._join(address, dial.insist)
             except SentOn as better:
                 dialer.sent_on(better.name, better.to)
-            except (OSError, Fault, Fenced, TimeoutError, ValueError, KeyError) as error:
+            except Exception as error:  # whatever a controller answers, the agent goes on and asks the next
                 log.info("not joined", controller=address, why=str(error) or type(error).__name__)
                 dialer.failed()
             else:
--- a/onyxhead/controller/alliance.py
+++ b/onyxhead/controller/alliance.py
@@ -72,7 +72,7 @@
         while True:
             now = self.daemon.clock.now()
             for packet in self.coalition.membership.tick(now):
-                self.daemon.start(self._send(packet))
+                self.daemon.start(self._send(packet), vital=False)
             for said in self.coalition.look(now):
                 log.info("fleet", said=said, alive=self.coalition.seen)
                 self._renew(now)
@@ -131,7 +131,7 @@
         back = [packet for packet in replies if packet.to == sender]
         for packet in replies:
             if packet.to != sender:
-                self.daemon.start(self._send(packet))
+                self.daemon.start(self._send(packet), vital=False)
         return answer(200, {"packets": [packet.plain() for packet in back], "news": self._news()})
 
     def _news(self) -> dict[str, Any]:
--- a/onyxhead/controller/daemon.py
+++ b/onyxhead/controller/daemon.py
@@ -166,12 +166,17 @@
             self.store.close()
             log.info("ended", name=self.settings.name)
 
-    def start(self, work: Any) -> asyncio.Task[None]:  # noqa: ANN401
+    def start(self, work: Any, vital: bool = True) -> asyncio.Task[None]:  # noqa: ANN401
         task: asyncio.Task[None] = asyncio.get_running_loop().create_task(work)
         self.tasks.add(task)
-        task.add_done_callback(self._done)
+        task.add_done_callback(self._done if vital else self._done_aside)
         return task
 
+    def _done_aside(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            log.error("a task aside failed", error=repr(error), exc_info=error)
+
     def _done(self, task: asyncio.Task[None]) -> None:
         self.tasks.discard(task)
         if not task.cancelled() and (error := task.exception()) is not None:
@@ -213,7 +218,7 @@
             if (line := self.lines.pop(cut.proxy, None)) is not None:
                 line.task.cancel()
         for backend, address in work.probes:
-            self.start(self._probe(backend, address))
+            self.start(self._probe(backend, address), vital=False)
         for remark in work.remarks:
             log.info("remark", text=remark)
 
@@ -361,6 +366,11 @@
             else:
                 self.house.door.fault(self.clock.now(), who.name)
             self.stir.set()
+        except Exception as error:
+            # Whatever one agent manages to do must end its own stream, and nobody else's.
+            log.error("a stream failed", proxy=who.name, error=repr(error), exc_info=error)
+            self.house.door.fault(self.clock.now(), who.name)
+            self._gone(number, token, repr(error))
         finally:
             stream.close()
 
@@ -459,7 +469,7 @@
         except (OverflowError, Fenced) as error:
             return problem(507, str(error))
         token = f"{self.settings.name}.{secrets.token_hex(8)}"
-        self.start(self._proxy(who, address, token, fence, beat))
+        self.start(self._proxy(who, address, token, fence, beat), vital=False)
         every = self.settings.start.report_every / TENTHS
         told = {"stream": token, "token": fence, "controller": self.settings.name, "report_every": every}
         return answer(200, told)
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -301,6 +301,50 @@
     play(tmp_path, work)
 
 
+@pytest.mark.parametrize("told", [[], "x", {"stream": 1}, {"stream": "s", "token": "x", "report_every": []}, None])
+def test_an_agent_outlives_whatever_a_controller_answers_to_its_join(tmp_path: Path, told: Any) -> None:
+    async def work(running: Running) -> None:
+        asked: list[int] = []
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            asked.append(1)
+            await reader.readuntil(b"\r\n\r\n")
+            body = json.dumps(told).encode()
+            writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s" % (len(body), body))
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        agent = await running.agent("p1", server.sockets[0].getsockname()[1])
+        await until(lambda: len(asked) > 3)
+        assert not running.tasks[0].done() and agent.controller is None and shown(tmp_path, "p1") == {9001}
+        server.close()
+
+    play(tmp_path, work)
+
+
+def test_a_stream_that_fails_in_an_unforeseen_way_ends_alone(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def work(running: Running) -> None:
+        controller = await running.controller()
+        for name in ("p1", "p2"):
+            await running.agent(name, port_of(controller))
+        await until(lambda: all(len(shown(tmp_path, name)) == 3 for name in ("p1", "p2")))
+        real, failed = controller.house.answered, list[int]()
+
+        def failing(now: int, proxy: int, *rest: Any) -> None:
+            if not failed:
+                failed.append(proxy)
+                raise RuntimeError("unforeseen")
+            real(now, proxy, *rest)
+
+        monkeypatch.setattr(controller.house, "answered", failing)
+        list_of(tmp_path, 2, BACKENDS[1:])
+        await until(lambda: all(shown(tmp_path, name) == {9002, 9003} for name in ("p1", "p2")))
+        await until(lambda: failed and len(controller.house.joined) == 2)
+        assert not running.tasks[0].done()
+
+    play(tmp_path, work)
+
+
 @pytest.mark.parametrize(
     "body", [b"", b"[]", b'{"zone": "moon"}', b'{"zone": "north", "usual": "x", "standing": 1, "held": {}}']
 )
