Discovery that must be asked is asked when the module says; dead code out

Need: every kind of decision is carried out live, subscriptions too. Change: discovery.subscribe; unused functions and a parameter taken out. Result: a server that fails twice is asked a third time when the module asks again; tests green.

--- a/onyxhead/controller/daemon.py
+++ b/onyxhead/controller/daemon.py
@@ -90,6 +90,7 @@
         self.stir = asyncio.Event()
         self.over = asyncio.Event()
         self.server = Server(self.answer)
+        self.subscribed = asyncio.Event()
         self.probing = asyncio.Semaphore(settings.probes.at_once)
         self.list_heard_at = 0.0
         self.alliance = Alliance(self, settings.fleet) if settings.fleet is not None else None
@@ -217,6 +218,8 @@
             log.warning("stream given up", proxy=cut.name, why=cut.why)
             if (line := self.lines.pop(cut.proxy, None)) is not None:
                 line.task.cancel()
+        if work.subscribe:
+            self.subscribed.set()
         for backend, address in work.probes:
             self.start(self._probe(backend, address), vital=False)
         for remark in work.remarks:
@@ -244,7 +247,9 @@
         else:
             assert given.server is not None
             heard = discovery.ask_server(given.server, given.every, self.settings.name)
-        last = ""
+        last, asked = "", self.settings.start.must_subscribe
+        if asked:
+            await self.subscribed.wait()
         async for body in heard:
             try:
                 if isinstance(body, discovery.Unheard):
@@ -255,6 +260,12 @@
                 if last != str(error):
                     last = str(error)
                     log.warning("the list is not followed", why=last)
+                if asked and isinstance(error, discovery.Unheard):
+                    # The module asks again when it thinks best; until then discovery is left alone.
+                    self.subscribed.clear()
+                    self.house.list_refused(self.clock.now())
+                    self.stir.set()
+                    await self.subscribed.wait()
                 continue
             last, self.list_heard_at, self.raw = "", time.time(), read
             if news is not None:
--- a/onyxhead/controller/house.py
+++ b/onyxhead/controller/house.py
@@ -90,7 +90,7 @@
     ) -> None:
         self.start, self.groups, self.zones, self.epoch = start, groups, zones, epoch
         self.brain = Brain(start, seed, now)
-        self.books = Books(groups, start.throttle, start.channel.head, epoch)
+        self.books = Books(groups, start.throttle, start.channel.head)
         self.channel: Channel[Message] = Channel(start.channel, patience)
         self.door, self.gate, self.gathered = Door(), Gate(), Gathered()
         self.numbers = dict(numbers or {})
--- a/onyxhead/controller/office.py
+++ b/onyxhead/controller/office.py
@@ -10,7 +10,7 @@
 from onyxhead.controller.configuration.access import Access
 from onyxhead.controller.configuration.datastores import Commit, Datastores
 from onyxhead.controller.configuration.desk import Desk, Hands
-from onyxhead.controller.configuration.effects import Backend, Facts, Plan, judge
+from onyxhead.controller.configuration.effects import Backend, Facts, Plan
 from onyxhead.controller.configuration.tree import Problem, Tree
 from onyxhead.controller.configuration.views import deployment, tree_of
 from onyxhead.fronts.netconf import schema
@@ -88,11 +88,6 @@
     daemon.list_again()
 
 
-def preview(daemon: Daemon, desk: Desk, tree: Tree) -> Plan:
-    """What a tree would do if it were committed. Raises Problem."""
-    return judge(desk.stores.running, tree, facts(daemon))
-
-
 def state(daemon: Daemon) -> Tree:
     known = daemon.house.state(daemon.clock.now())
     proxies = [
--- a/onyxhead/fronts/netconf/server.py
+++ b/onyxhead/fronts/netconf/server.py
@@ -5,7 +5,6 @@
 import asyncio
 import ssl
 from collections.abc import Callable
-from pathlib import Path
 
 import asyncssh
 import structlog
@@ -144,7 +143,3 @@
     for part in certificate.get("subject", ()):  # type: ignore[attr-defined]
         names += [str(value) for name, value in part if name == "commonName"]
     return next((name for name in names if name in users), None)
-
-
-def read_public_key(path: Path) -> str:
-    return asyncssh.read_public_key(path).export_public_key("openssh").decode().strip()
--- a/onyxhead/records/files.py
+++ b/onyxhead/records/files.py
@@ -10,12 +10,6 @@
 MOST_BYTES = 64 * 1024 * 1024
 
 
-def load(path: Path, schema: str, definition: str) -> Found:
-    """The file's values, checked against a definition of the schema's text. Raises Faulty, never anything else."""
-    files = gather(path)
-    return check(files, schema, definition)
-
-
 def gather(path: Path) -> list[File]:
     """The file and all that it includes, each once, the including one first. Raises Faulty."""
     files: list[File] = []
--- a/onyxhead/settings/load.py
+++ b/onyxhead/settings/load.py
@@ -258,7 +258,7 @@
         avoided_after=tries["avoided_after"],
         report_every=found["report_every"],
         probes_allowed=found["probes"]["allowed"],
-        must_subscribe=False,
+        must_subscribe=found["discovery"]["subscribe"],
     )  # fmt: skip
     given, addresses, here = found["discovery"], _Addresses(found, faults), path.parent
     file = here / given["file"] if "file" in given else None
--- a/onyxhead/tables/orders.py
+++ b/onyxhead/tables/orders.py
@@ -62,8 +62,8 @@
     `head` is what a message costs beyond its own lines.
     """
 
-    def __init__(self, groups: tuple[str, ...], throttle: say.Throttle, head: float, epoch: int) -> None:
-        self.groups, self.throttle, self.head, self.epoch = groups, throttle, head, epoch
+    def __init__(self, groups: tuple[str, ...], throttle: say.Throttle, head: float) -> None:
+        self.groups, self.throttle, self.head = groups, throttle, head
         self.places: dict[str, Place] = {}
         self.main, self.trial = Lines(), Lines()
         self.apart: frozenset[int] = frozenset()  # proxies that use the trial's lines
--- a/onyxhead/trial/days.py
+++ b/onyxhead/trial/days.py
@@ -64,15 +64,6 @@
     fleet.publish()
 
 
-def _unlist(names: Callable[[Fleet], list[str]]) -> Step:
-    def step(fleet: Fleet) -> None:
-        for name in names(fleet):
-            fleet.listed.pop(name, None)
-        fleet.publish()
-
-    return step
-
-
 def crash(at: float, span: float) -> Steps:
     steps = _die(at, span, _backends(0.2), _return_backend)
 
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -29,7 +29,7 @@
 
 def orders() -> tuple[Keeper, list[Request]]:
     """A keeper that listens to stream "s", and two orders that build on each other."""
-    own = Books(("read", "write"), say.Throttle.SHARE, 6.0, 3)
+    own = Books(("read", "write"), say.Throttle.SHARE, 6.0)
     own.places = {f"b{n}": Place(f"127.0.0.1:{9000 + n}", "north") for n in range(4)}
     keeper = Keeper(View.of({("standing", "b9"): line("b9")}))
     keeper.listen_to("s")
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -14,7 +14,8 @@
 from onyxhead.controller.daemon import Daemon
 from onyxhead.fronts.files.push import Refused
 from onyxhead.http.client import ask_once
-from onyxhead.http.messages import Request, answer
+from onyxhead.http.messages import Request, Response, answer
+from onyxhead.http.server import Server
 from onyxhead.settings.load import Agent as AgentSettings
 from onyxhead.settings.load import Controller, read
 from tests.fleetrig import stream_of
@@ -322,6 +323,30 @@
     play(tmp_path, work)
 
 
+def test_a_discovery_that_must_be_asked_is_asked_again_after_it_failed(tmp_path: Path) -> None:
+    async def work(running: Running) -> None:
+        asked: list[int] = []
+
+        async def answer_list(_request: Request, _writer: asyncio.StreamWriter) -> Response:
+            asked.append(1)
+            body = json.dumps({"version": 1, "backends": BACKENDS}).encode()
+            return Response(503) if len(asked) < 3 else Response(200, {}, body)
+
+        server = Server(answer_list)
+        _, port = await server.start("127.0.0.1", 0)
+        text = CONTROLLER.replace('file: "list.json", every: 20ms', f'server: "127.0.0.1:{port}", subscribe: true')
+        (tmp_path / "c.rec").write_text(text)
+        settings = read(tmp_path / "c.rec")
+        assert isinstance(settings, Controller)
+        daemon = Daemon(settings)
+        running.tasks.append(asyncio.create_task(daemon.run()))
+        await until(lambda: daemon.house.listed)
+        assert len(asked) == 3
+        server.close()
+
+    play(tmp_path, work)
+
+
 def test_a_stream_that_fails_in_an_unforeseen_way_ends_alone(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     async def work(running: Running) -> None:
         controller = await running.controller()
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -66,7 +66,7 @@
 
 
 def books() -> Books:
-    made = Books(("read", "write"), say.Throttle.SHARE, 6.0, 3)
+    made = Books(("read", "write"), say.Throttle.SHARE, 6.0)
     made.places = {f"b{n}": Place(f"127.0.0.1:{9000 + n}", "north") for n in range(5)}
     return made
 
