Changes name their result, pile-ups are folded into one push, tables can be pinned

Need: a delta names base and result; what a lagging proxy missed is sent once. Change: Onyxhead-Result checked before the swap; runs folded; tables pin; two tests wait for the agent's own word, which a busy machine could miss. Result: generated runs fold to where they lead; a change that leads elsewhere is refused.

--- a/onyxhead/agent/keeper.py
+++ b/onyxhead/agent/keeper.py
@@ -10,6 +10,7 @@
     JSON,
     MERGE_PATCH,
     ORDER,
+    RESULT,
     STREAM,
     TOKEN,
     Request,
@@ -72,6 +73,8 @@
             return problem(422, str(error))
         except ValueError as error:
             return problem(400, f"not JSON: {error}")
+        if (wanted := request.headers.get(RESULT, view.tag)) != view.tag:
+            return problem(422, f"the change leads to {view.tag}, not to {wanted}")
         return Taken(view, read_order(request.headers.get(ORDER, "")).get("turn", 0))
 
     def fenced(self, request: Request) -> Response | None:
--- a/onyxhead/cli/main.py
+++ b/onyxhead/cli/main.py
@@ -225,6 +225,16 @@
     shown("trial", ask(address, "/v1/tables/try", identity, given), as_json)
 
 
+@tables.command("pin")
+@click.argument("address")
+@click.option("--seconds", default=600.0, show_default=True, help="How long the tables are held.")
+@IDENTITY
+def tables_pin(address: str, seconds: float, identity: Path | None) -> None:
+    """Hold the tables as they are; withdrawals, levels and ramps go on."""
+    told = ask(address, "/v1/tables/pin", identity, {"seconds": seconds})
+    click.echo(f"held as in version {told['version']}")
+
+
 @tables.command("release")
 @click.argument("address")
 @IDENTITY
--- a/onyxhead/controller/daemon.py
+++ b/onyxhead/controller/daemon.py
@@ -32,7 +32,7 @@
 from onyxhead.store.store import Store
 from onyxhead.tables.history import History, Unknown
 from onyxhead.tables.history import Refused as Impossible
-from onyxhead.tables.orders import Message
+from onyxhead.tables.orders import Message, fold
 from onyxhead.tables.view import Malformed, View, address_parts
 
 SHORTEST_STEP = 0.004
@@ -394,11 +394,17 @@
             if await stream.look() != held:
                 raise Refused("its view has changed by itself") from None
             return
+        run, ordered_last = [message], ordered
+        while not orders.empty():
+            more, ordered_last = orders.get_nowait()
+            run.append(more)
+        message = fold(run)
         # A process that stood still past its lease may have lost the proxy; it looks before it acts.
         if self.clock.now() - ordered > self.settings.patience and await stream.look() != message.base:
             raise Refused("its view has changed by itself")
-        await stream.send(message, ordered)
-        self.house.channel.taken(number)
+        await stream.send(message, ordered_last)
+        for _ in run:
+            self.house.channel.taken(number)
         tag = await stream.answer()
         now = self.clock.now()
         self.house.answered(now, number, message, tag, ordered)
@@ -491,7 +497,7 @@
             given = request.json() if request.body else {}
             if not isinstance(given, dict):
                 raise ValueError("not an object")
-            if what in ("rollback", "try", "release", "label"):
+            if what in ("rollback", "pin", "try", "release", "label"):
                 if request.method != "POST":
                     return problem(405, f"{what} is asked for by POST")
                 log.info("tables", asked=what, **{name: given.get(name) for name in ("version", "label", "seconds")})
--- a/onyxhead/controller/house.py
+++ b/onyxhead/controller/house.py
@@ -311,6 +311,14 @@
         self._cause(f"rolled back to version {back.version}")
         return back
 
+    def freeze(self, now: int, seconds: float) -> int:
+        """Holds the tables as they are now, for so long. Returns the version that they are in."""
+        self.pin = pin = Pin(self.history.last._replace(at=now), now + round(seconds * 10_000))
+        self.books.main.hold = lambda wanted: pin.target(wanted, self.truth(self.at))
+        self.unsettled = True
+        self._cause(f"held as in version {pin.version.number}")
+        return pin.version.number
+
     def release(self, now: int, why: str) -> bool:
         """Follows the module again; its lines are sent as the channel has room. False if nothing was held."""
         held, self.pin, self.books.main.hold = self.pin is not None, None, None
--- a/onyxhead/controller/ways.py
+++ b/onyxhead/controller/ways.py
@@ -54,6 +54,11 @@
                 "channel_s": round(seconds, 3),
                 "hold_s": hold,
             }
+        case "pin":
+            hold = float(given.get("seconds", USUAL))
+            if not 0 < hold <= LONGEST:
+                raise ValueError(f"tables are held for 0 to {LONGEST:.0f} seconds")
+            return {"version": house.freeze(now, hold), "hold_s": hold}
         case "try":
             hold, share = float(given.get("seconds", USUAL)), float(given.get("share", 0.1))
             if not 0 < hold <= LONGEST or not 0 < share <= 0.5:
--- a/onyxhead/fronts/files/push.py
+++ b/onyxhead/fronts/files/push.py
@@ -12,6 +12,7 @@
     JSON,
     MERGE_PATCH,
     ORDER,
+    RESULT,
     STREAM,
     TOKEN,
     Fault,
@@ -87,6 +88,7 @@
             "content-type": JSON if message.whole else MERGE_PATCH,
             "content-digest": digest,
             "if-match": message.base,
+            RESULT: message.result.tag,
         }
         await self._send(Request("PUT" if message.whole else "PATCH", VIEW, headers, body))
 
--- a/onyxhead/http/messages.py
+++ b/onyxhead/http/messages.py
@@ -1,7 +1,8 @@
 """Requests and responses as values, and the headers of our own.
 
-`Onyxhead-Stream` names the stream that an order belongs to, `Onyxhead-Token` is its fencing token, and `Onyxhead-Order`
-tells the turn, the lines it counts and when it was ordered, as a structured dictionary (RFC 9651)."""
+`Onyxhead-Stream` names the stream that an order belongs to, `Onyxhead-Token` is its fencing token, `Onyxhead-Result`
+the tag of what it leads to; `Onyxhead-Order` tells the turn, the lines it counts and when it was ordered, as a
+structured dictionary (RFC 9651)."""
 
 from __future__ import annotations
 
@@ -15,6 +16,7 @@
 STREAM = "onyxhead-stream"
 ORDER = "onyxhead-order"
 TOKEN = "onyxhead-token"
+RESULT = "onyxhead-result"
 MOST_HEADER = 32 * 1024
 MOST_BODY = 16 * 1024 * 1024
 
--- a/onyxhead/tables/orders.py
+++ b/onyxhead/tables/orders.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 import onyxhead.interface as say
@@ -41,6 +41,22 @@
         return self.result.document() if self.whole else nested(self.changes)
 
 
+def fold(messages: Sequence[Message]) -> Message:
+    """One message in place of a run of them to one proxy: what it misses by lagging is sent once, with one head.
+
+    The run is in order, each built on the one before; the last turn's answer answers all."""
+    first, last = messages[0], messages[-1]
+    if len(messages) == 1:
+        return first
+    begin = max((place for place, each in enumerate(messages) if each.whole), default=-1)
+    changes: dict[Path, Leaf | None] = {}
+    for each in messages[begin + 1 :]:
+        changes |= each.changes
+    turn = next((each.turn for each in messages[::-1] if each.turn), 0)
+    lines, urgent = sum(each.lines for each in messages), any(each.urgent for each in messages)
+    return Message(first.proxy, turn, begin >= 0, first.base, last.result, changes, lines, urgent)
+
+
 Key = tuple[int, str]
 Hold = Callable[[Mapping[Key, int]], dict[Key, int]]
 
--- a/tests/fleetrig.py
+++ b/tests/fleetrig.py
@@ -36,7 +36,7 @@
     body, digest = Encoder().body(message)
     headers = {
         STREAM: stream, ORDER: order_field(message.turn, message.lines, at), "content-digest": digest,
-        "if-match": message.base, "content-type": JSON if message.whole else MERGE_PATCH,
+        "if-match": message.base, "onyxhead-result": message.result.tag, "content-type": JSON if message.whole else MERGE_PATCH,
     }  # fmt: skip
     return Request("PUT" if message.whole else "PATCH", "/v1/view", headers, body)
 
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -68,6 +68,13 @@
     assert isinstance(answer, Response) and answer.status == status and keeper.view is before
 
 
+def test_a_change_that_leads_elsewhere_than_it_says_is_refused() -> None:
+    keeper, made = orders()
+    answer = keeper.take(changed(made[0], onyxhead_result='"0"'))
+    assert isinstance(answer, Response) and answer.status == 422
+    assert isinstance(keeper.take(changed(made[0], onyxhead_result=made[0].headers["onyxhead-result"])), Taken)
+
+
 def test_every_flipped_byte_of_an_order_is_refused() -> None:
     keeper, made = orders()
     taken = keeper.take(made[0])
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -243,6 +243,19 @@
     assert late == 0 and wrong < 0.01 * 300 * 30
 
 
+def test_tables_that_are_pinned_stay_as_they_are_but_for_what_rules_demand() -> None:
+    rig = Rig(proxies=2)
+    rig.run(2)
+    assert rig.house.freeze(rig.now, 60.0) == rig.house.history.last.number
+    import onyxhead.interface as say
+
+    for message in rig.house.books.messages(0, [say.TableChange(0, (("b1", 0.001),))]):
+        rig.house._send(rig.now, message)
+    rig.set("b2", "draining")
+    rig.run(2)
+    assert rig.lines("p0")["b1"] == FULL and "b2" not in rig.lines("p0")
+
+
 def test_questions_are_answered_in_plain_values() -> None:
     rig = worsened()
     house, now = rig.house, rig.now
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -155,7 +155,7 @@
     async def work(running: Running) -> None:
         controller = await running.controller()
         agent = await running.agent("p1", port_of(controller))
-        await until(lambda: len(shown(tmp_path, "p1")) == 3)
+        await until(lambda: agent.swaps and len(shown(tmp_path, "p1")) == 3)
         held, port = agent.keeper.view, agent.push[1]
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         stream = agent.keeper.stream
@@ -174,7 +174,7 @@
     async def work(running: Running) -> None:
         controller = await running.controller()
         agent = await running.agent("p1", port_of(controller))
-        await until(lambda: len(shown(tmp_path, "p1")) == 3)
+        await until(lambda: agent.swaps and len(shown(tmp_path, "p1")) == 3)
         old = agent.keeper.stream
         agent.lost.set()
         await until(lambda: agent.keeper.stream not in ("", old) and not agent.lost.is_set())
@@ -189,7 +189,7 @@
     async def work(running: Running) -> None:
         controller = await running.controller()
         agent = await running.agent("p1", port_of(controller))
-        await until(lambda: len(shown(tmp_path, "p1")) == 3)
+        await until(lambda: agent.swaps and len(shown(tmp_path, "p1")) == 3)
         number = controller.house.number("p1")
         from onyxhead.interface import TableChange
 
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 import onyxhead.interface as say
-from onyxhead.tables.orders import Books, Place
+from onyxhead.tables.orders import Books, Message, Place, fold
 from onyxhead.tables.view import Malformed, View, nested, read_patch
 from tests.fleetrig import line
 
@@ -94,6 +94,20 @@
     assert own.views[2] == View.of({("standing", "b0"): line("b0"), ("withdrawn", "b0"): True})
 
 
+@given(st.lists(st.tuples(st.booleans(), CHANGES), min_size=1, max_size=6))
+def test_a_folded_run_of_changes_leads_where_the_run_leads(steps: Any) -> None:
+    base = view = View.EMPTY.apply(leaves({("standing", "b1"): 3}))
+    run = []
+    for turn, (whole, step) in enumerate(steps):
+        before, changes = view, leaves(step)
+        view = View.of({p: v for p, v in changes.items() if v is not None}) if whole else view.apply(changes)
+        run.append(Message(1, turn, whole, before.tag, view, changes, 9.0, False))
+    one = fold(run)
+    assert one.base == base.tag and one.result is view and one.turn == len(steps) - 1
+    document = json.loads(json.dumps(one.document()))
+    assert (View.read(document) if one.whole else base.apply(read_patch(document))).tag == view.tag
+
+
 def test_a_small_weight_never_becomes_no_line_and_zero_takes_it_away() -> None:
     own = books()
     own.join(1, View.EMPTY)
