What a controller runs with can be written as settings

Need: settings files and NETCONF are two views of one core; the way back to a file had no command. Change: onyxhead config. Result: a drain committed by NETCONF shows in it.

--- a/onyxhead/cli/main.py
+++ b/onyxhead/cli/main.py
@@ -140,6 +140,14 @@
         show_rows(state["name"], [{"what": key, "value": _cell(value)} for key, value in state.items()])
 
 
+@main.command()
+@click.argument("address")
+@click.option("--as", "identity", type=EXISTING, help="FOLDER/NAME of the certificate to show.")
+def config(address: str, identity: Path | None) -> None:
+    """Write what the controller at ADDRESS runs with as settings; edits by NETCONF are in it."""
+    click.echo(ask(address, "/v1/config", identity)["records"], nl=False)
+
+
 @main.group()
 def tables() -> None:
     """Versions of a controller's tables, and the way back."""
--- a/onyxhead/controller/daemon.py
+++ b/onyxhead/controller/daemon.py
@@ -20,7 +20,7 @@
 from onyxhead.controller.alliance import Alliance
 from onyxhead.controller.clock import Clock
 from onyxhead.controller.configuration.tree import Tree
-from onyxhead.controller.configuration.views import deployment, overlaid
+from onyxhead.controller.configuration.views import as_records, deployment, overlaid, tree_of
 from onyxhead.controller.house import House, Joining, Work
 from onyxhead.controller.probe import look
 from onyxhead.fleet.fence import Fenced, next_token
@@ -435,6 +435,9 @@
                 return answer(200, {"name": self.settings.name, "epoch": self.house.epoch})
             case "GET", ["v1", "state"]:
                 return answer(200, self.state())
+            case "GET", ["v1", "config"]:
+                tree = self.tree or tree_of(self.settings)
+                return answer(200, {"records": as_records(tree, self.settings.prefixes)})
             case "GET", ["v1", "orders"]:
                 return answer(200, await asyncio.to_thread(self.store.orders, NUMBER_OF_ORDERS))
             case (("GET" | "POST"), ["v1", "tables", what]):
--- a/tests/test_netconf.py
+++ b/tests/test_netconf.py
@@ -11,11 +11,13 @@
 
 import asyncssh
 import pytest
+from click.testing import CliRunner
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from ncclient import manager
 from ncclient.operations import RPCError
 
+from onyxhead.cli.main import main
 from onyxhead.controller.configuration.access import Access
 from onyxhead.controller.configuration.datastores import Commit, Datastores
 from onyxhead.controller.configuration.desk import Desk, Hands
@@ -562,6 +564,8 @@
         await asyncio.to_thread(m.discard_changes)
         told = await asyncio.to_thread(m.get)
         assert "<withdrawn>true</withdrawn>" in told.xml
+        written = await asyncio.to_thread(CliRunner().invoke, main, ["config", f"127.0.0.1:{port}"])
+        assert written.exit_code == 0 and '"b2": {' in written.output and "drained" in written.output
         schema_text = await asyncio.to_thread(m.get_schema, "onyxhead-fleet")
         assert "module onyxhead-fleet" in schema_text.data
         await asyncio.to_thread(m.close_session)
