A swap uses standing writers and reads each address once

Need: an agent's swap was far from a bare one in memory; half of its time went into reading addresses and starting threads. Change: a cache of addresses, four standing writers; a swap waits for all of them also when one fails.

--- a/onyxhead/agent/swap.py
+++ b/onyxhead/agent/swap.py
@@ -8,10 +8,11 @@
 import contextlib
 import os
 from collections.abc import Sequence
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import ThreadPoolExecutor, wait
 from pathlib import Path
 
 PASSING = ".swap-"
+WRITERS = ThreadPoolExecutor(4, "swap")
 
 
 class NotSwapped(OSError):
@@ -23,8 +24,11 @@
     passing = [path.with_name(f"{PASSING}{path.name}") for path, _ in files]
     try:
         # Together, since a disk flushes several files in hardly more time than one.
-        with ThreadPoolExecutor(len(files)) as writers:
-            list(writers.map(_write, passing, [body for _, body in files]))
+        # All must have ended before anything else is done: a writer left behind would write into the next swap.
+        written = [WRITERS.submit(_write, beside, body) for beside, (_, body) in zip(passing, files, strict=True)]
+        wait(written)
+        for each in written:
+            each.result()
     except OSError as error:
         for beside in passing:
             with contextlib.suppress(OSError):
--- a/onyxhead/tables/view.py
+++ b/onyxhead/tables/view.py
@@ -16,6 +16,7 @@
 import hashlib
 import json
 from collections.abc import Iterator, Mapping
+from functools import lru_cache
 from typing import Any
 
 from immutables import Map
@@ -192,10 +193,18 @@
 
 def address_parts(address: object, where: str = "address") -> tuple[str, int]:
     """Host and port of "host:port". Raises Malformed."""
-    host, _, port = address.rpartition(":") if isinstance(address, str) else ("", "", "")
-    if not host or not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65536:
+    found = _address(address) if isinstance(address, str) else None
+    if found is None:
         raise Malformed(f"{where}: {address!r} is not host:port")
+    return found
+
+
+@lru_cache(maxsize=65_536)
+def _address(address: str) -> tuple[str, int] | None:
+    host, _, port = address.rpartition(":")
+    if not host or not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65536:
+        return None
     # Addresses end up in other programs' settings, where white space, quotes or a brace would end a word.
     if not all(mark.isalnum() or mark in ".-:[]_" for mark in host):
-        raise Malformed(f"{where}: {address!r} is not host:port")
+        return None
     return host.strip("[]"), int(port)
