One place that holds tables, one preview a rollback; a dead method out

Cause: a last read found the filter of held tables written three times, a rollback by command planned twice, and Keeper.state unused. Change: _pin and _hold serve rollback, pin and trial; roll_back returns what preview does. Behaviour as before.

--- a/onyxhead/agent/keeper.py
+++ b/onyxhead/agent/keeper.py
@@ -95,10 +95,6 @@
     def shown(self, status: int = 200) -> Response:
         return Response(status, {"etag": self.view.tag, "onyxhead-applied": str(self.turn)})
 
-    def state(self) -> bytes:
-        """What goes on disk before the proxy's files are swapped."""
-        return state_of(self.view, self.fence.held)
-
 
 def state_of(view: View, token: int = 0) -> bytes:
     state = {"tag": view.tag, "token": token, "view": view.document()}
--- a/onyxhead/controller/house.py
+++ b/onyxhead/controller/house.py
@@ -19,7 +19,7 @@
 from onyxhead.controller.sums import Gate, Gathered, Report
 from onyxhead.tables.canary import Canary, Verdict, chosen
 from onyxhead.tables.history import Back, History, Key, Pin, Refused, Truth, Unknown, Version, plan
-from onyxhead.tables.orders import Books, Message
+from onyxhead.tables.orders import Books, Hold, Message
 from onyxhead.tables.view import View
 
 MOST_PROXIES = 65_535
@@ -302,22 +302,26 @@
         users = max((len(users) for users in self.books.users.values()), default=0)
         return back, users * (back.changes + self.books.head + 1) / self.start.channel.lines_per_s
 
-    def roll_back(self, now: int, name: str, seconds: float) -> Back:
-        """Holds the tables as in a version for so long. Withdrawals and levels go on. Raises Refused, Unknown."""
-        back, _ = self.preview(now, name)
-        self.pin = pin = Pin(self.history.find(name), now + round(seconds * 10_000))
-        self.books.main.hold = lambda wanted: pin.target(wanted, self.truth(self.at))
-        self.unsettled = True
+    def roll_back(self, now: int, name: str, seconds: float) -> tuple[Back, float]:
+        """Holds the tables as in a version for so long; returns what `preview` does. Withdrawals and levels go on.
+        Raises Refused, Unknown."""
+        back, took = self.preview(now, name)
+        self._pin(Pin(self.history.find(name), now + round(seconds * 10_000)))
         self._cause(f"rolled back to version {back.version}")
-        return back
+        return back, took
 
     def freeze(self, now: int, seconds: float) -> int:
         """Holds the tables as they are now, for so long. Returns the version that they are in."""
-        self.pin = pin = Pin(self.history.last._replace(at=now), now + round(seconds * 10_000))
-        self.books.main.hold = lambda wanted: pin.target(wanted, self.truth(self.at))
-        self.unsettled = True
-        self._cause(f"held as in version {pin.version.number}")
-        return pin.version.number
+        version = self.history.last._replace(at=now)
+        self._pin(Pin(version, now + round(seconds * 10_000)))
+        self._cause(f"held as in version {version.number}")
+        return version.number
+
+    def _pin(self, pin: Pin) -> None:
+        self.pin, self.books.main.hold, self.unsettled = pin, self._hold(pin), True
+
+    def _hold(self, pin: Pin) -> Hold:
+        return lambda wanted: pin.target(wanted, self.truth(self.at))
 
     def release(self, now: int, why: str) -> bool:
         """Follows the module again; its lines are sent as the channel has room. False if nothing was held."""
@@ -338,9 +342,7 @@
             raise Refused("a trial needs two proxies at least")
         pin = Pin(self.history.find(name), now + round(seconds * 10_000))
         self.canary = canary = Canary(back.version, frozenset(names), now, pin.until)
-        self.books.begin_trial(
-            frozenset(bound[name] for name in names), lambda wanted: pin.target(wanted, self.truth(self.at))
-        )
+        self.books.begin_trial(frozenset(bound[name] for name in names), self._hold(pin))
         self.unsettled = True
         self._cause(f"version {back.version} is tried on {len(names)} of {len(bound)} proxies")
         return back, canary
--- a/onyxhead/controller/ways.py
+++ b/onyxhead/controller/ways.py
@@ -49,11 +49,8 @@
             hold = float(given.get("seconds", USUAL))
             if not 0 < hold <= LONGEST:
                 raise ValueError(f"tables are held for 0 to {LONGEST:.0f} seconds")
-            _, seconds = house.preview(now, str(given["version"]))
-            return _back(house.roll_back(now, str(given["version"]), hold)) | {
-                "channel_s": round(seconds, 3),
-                "hold_s": hold,
-            }
+            back, seconds = house.roll_back(now, str(given["version"]), hold)
+            return _back(back) | {"channel_s": round(seconds, 3), "hold_s": hold}
         case "pin":
             hold = float(given.get("seconds", USUAL))
             if not 0 < hold <= LONGEST:
