Withdrawals that reach nobody no longer stop the channel, and nothing passes those due

Cause: withdrawals said again to joiners often reach no one (their tables name no such backend), so their turn is never answered, and the module counted them as waiting for two minutes: no join, turn or withdrawal went out. Change: a turn with withdrawals asks everyone for an answer while proxies wait for tables; a withdrawal is counted, and sent live, only where a line of the backend may be held; levels, weights and full tables of many joiners wait for it.

--- a/onyxhead/brain.py
+++ b/onyxhead/brain.py
@@ -124,6 +124,7 @@
         channel, guards = start.channel, start.guards
         self.head, self.limit, self.transit = channel.head + 1, channel.most_waiting, channel.slowest_transit
         self.cap, self.cap_span = channel.messages_cap, channel.messages_span
+        self.pace = channel.lines_per_s
         self.grace, self.gather = guards.drain_grace, guards.drain_grace // GATHERED
         self.cold_share, self.cold_time = guards.cold_share, guards.cold_time
         self.patience = 2 * start.report_every + channel.slowest_transit
@@ -232,7 +233,7 @@
     # What is decided
 
     def decisions(self, now: int) -> Iterator[say.Decision]:
-        self.spent = {}
+        self.spent, self.reach_all = {}, False
         for proxy in self.proxies.values():
             while proxy.written and proxy.written[0] <= now - self.cap_span:
                 proxy.written.popleft()
@@ -255,7 +256,7 @@
             for proxy, lines in self.spent.items():
                 self.unanswered.append((self.turn, proxy, lines, now + self.lost_after))
                 self.proxies[proxy].written.append(now)
-            yield say.TurnMark(self.turn)
+            yield say.TurnMark(self.turn, self.reach_all)
         if self.wake_at <= now:
             self.wake_at = now + BEAT
             yield say.Wakeup(BEAT)
@@ -275,9 +276,9 @@
         for proxy in receivers:
             self.spent[proxy.id] = self.spent.get(proxy.id, self.head) + lines
 
-    def _due(self, now: int) -> list[Backend]:
+    def _due(self, now: int, gather: int) -> list[Backend]:
         # Whole tables for many that join take longer than the grace; so late withdrawals are said again.
-        waiting = [p for p in self.proxies.values() if not p.bound and now - p.joined > self.gather]
+        waiting = [p for p in self.proxies.values() if not p.bound and now - p.joined > gather]
         joined = max((p.joined for p in waiting), default=0)
         since = min((p.joined for p in waiting), default=now) - STALE * self.grace
         gone = [b for b in self.backends.values() if b.down and (b.out_at or now) <= now]
@@ -285,24 +286,37 @@
         return [b for b in gone if not b.shut or (b.shut < min(joined, again) and (b.out_at or now) > since)]
 
     def _shut_out(self, now: int) -> Iterator[say.Decision]:
-        everyone, due = list(self.proxies.values()), self._due(now)
+        everyone, due = list(self.proxies.values()), self._due(now, self.gather)
         if not due:
             return
         # Heads outweigh a withdrawal's own line: one message each would fill the channel.
-        room = max(0, int(self._room(URGENT_SHARE, everyone)))
+        room = self._room(URGENT_SHARE, everyone) * len(everyone)
+        holding = {backend.id: self._holding(backend, everyone) for backend in due}
         early = now - min(b.out_at or now for b in due) < self.gather
-        if self._waiting() > self.head * len(everyone) and (room < len(due) or early):
+        cost = sum(map(len, holding.values()))
+        if self._waiting() > self.head * len(everyone) and (room < cost or early):
             return
-        for backend in sorted(due, key=lambda backend: (backend.shut > 0, backend.out_at))[:room]:
+        for backend in sorted(due, key=lambda backend: (backend.shut > 0, backend.out_at)):
+            room -= len(holding[backend.id])
+            if room < 0:
+                return
             backend.shut = max(1, now)
-            self._spend(1, everyone)
+            # Who is not bound here may hold no such line, and a message that is never sent is never answered.
+            self.reach_all = any(not proxy.bound for proxy in everyone)
+            self._spend(0, everyone if self.reach_all else holding[backend.id])
+            self._spend(1, holding[backend.id])
             yield say.Shutout(backend.id, True)
 
+    def _holding(self, backend: Backend, proxies: list[Proxy]) -> list[Proxy]:
+        tables = [table for table in self._taking(backend) if backend.lines[table.number]]
+        return [p for p in proxies if not p.bound or any(table.serves(p) for table in tables)]
+
     def _assign(self, now: int) -> Iterator[say.Decision]:
         waiting = [proxy for proxy in self.proxies.values() if not proxy.bound]
         # Empty tables would take away the last lines a proxy has, and full ones the room for withdrawals.
-        if not waiting or self._due(now):
+        if not waiting or self._due(now, self.gather):
             return
+        soon = self._due(now, -1)
         binding = any(b.shut or (b.ready and self._warmth(b, now) < 1) for b in self.backends.values())
         lines = {number for b in self._up() if not b.shut for number, line in b.lines.items() if line}
         for proxy in sorted(waiting, key=lambda p: (p.held <= lines, not p.standing, -p.usual, p.id)):
@@ -313,6 +327,8 @@
             cost = sum((b.lines[t.number] > 0) + (b.shut > 0) for t, b in known)
             cost += sum(1 + len(table.groups) for table in tables)
             # A standing table may hold what drains or is cold, and those rules bind from the join on.
+            if soon and len(waiting) * cost > self.pace * self.grace / 2 / SECOND:
+                return  # what was withdrawn is said again first, or full tables would hold it back
             hurry = (binding and now - proxy.joined > self.gather) or not proxy.held <= lines
             if self._room(HURRY_SHARE if hurry else CALM_SHARE, [proxy]) < cost:
                 return
@@ -333,6 +349,8 @@
         self._foresee(now)
         self._ease(now)
         self._set_levels(now)
+        if self._due(now, self.gather):
+            return  # levels and weights must not fill the channel that withdrawals wait for
         if self.throttle is not say.Throttle.OFF:
             yield from self._admit()
         bound = [proxy for proxy in self.proxies.values() if proxy.bound]
--- a/onyxhead/controller/house.py
+++ b/onyxhead/controller/house.py
@@ -251,7 +251,7 @@
         decisions, turn, work = list(self.brain.decisions(now)), 0, self.work
         for decision in decisions:
             match decision:
-                case say.TurnMark(marked):
+                case say.TurnMark(marked, _):
                     turn = marked
                 case say.Probe(backend) if backend in self.books.places:
                     work.probes.append((backend, self.books.places[backend].address))
--- a/onyxhead/interface.py
+++ b/onyxhead/interface.py
@@ -152,9 +152,11 @@
 
 
 class TurnMark(NamedTuple):
-    """Asks every proxy that this turn's message reaches to answer when it has applied it."""
+    """Asks every proxy that this turn's message reaches to answer when it has applied it; where `everyone` is set, also
+    those that it would not reach."""
 
     turn: int
+    everyone: bool = False
 
 
 class Probe(NamedTuple):
@@ -179,6 +181,4 @@
     text: str
 
 
-Decision = (
-    Shutout | TableChange | Admission | Assignment | TurnMark | Probe | Wakeup | Subscribe | Remark
-)
+Decision = Shutout | TableChange | Admission | Assignment | TurnMark | Probe | Wakeup | Subscribe | Remark
--- a/onyxhead/tables/orders.py
+++ b/onyxhead/tables/orders.py
@@ -143,7 +143,11 @@
                         urgent.update(self.views)
                     else:
                         self.withdrawn.pop(backend, None)
-                    write(self.views, ("withdrawn", backend), True if shut else None)
+                    leaf: Path = ("withdrawn", backend)
+                    for proxy, view in self.views.items():
+                        said = changes.get(proxy, {}).get(leaf, view.leaves.get(leaf)) is True
+                        if said != shut and (said or self._may_hold(proxy, backend)):
+                            write((proxy,), leaf, True if shut else None)
                 case say.TableChange(table, changed):
                     for backend, weight in changed:
                         parts = max(1, round(weight * PARTS)) if weight > 0 else 0
@@ -189,7 +193,17 @@
         if parts:
             held[backend] = parts
         path = ("tables", self.name(table), "lines", backend)
-        write(self._users(own, table), path, self._line(backend, parts) if parts else None)
+        users = self._users(own, table)
+        write(users, path, self._line(backend, parts) if parts else None)
+        if parts and backend in self.withdrawn:
+            # Those that held no line of it were not told of its withdrawal.
+            write(users, ("withdrawn", backend), True)
+
+    def _may_hold(self, proxy: int, backend: str) -> bool:
+        """Whether a withdrawal says something to this proxy: tables not of this controller may hold anything."""
+        tables = self.bound(proxy)
+        held = self.lines_for(proxy).tables
+        return not tables or any(backend in held.get(table, {}) for table in tables)
 
     def _users(self, own: Lines, table: int) -> list[int]:
         users = self.users.get(table, set())
--- a/onyxhead/wirehost/codec.py
+++ b/onyxhead/wirehost/codec.py
@@ -264,8 +264,8 @@
             yield f"GATE_CLASS {table} {bits(groups)} {shown(level)} {tries}"
         case Assignment(proxy, table, groups):
             yield f"PIN {proxy} {table} {bits(groups)}"
-        case TurnMark(turn):
-            yield f"NONCE 0 {turn}"
+        case TurnMark(turn, everyone):
+            yield f"NONCE {int(everyone)} {turn}"
         case Probe(backend):
             yield f"SOUND_OUT {backend}"
         case Wakeup(after):
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -5,7 +5,7 @@
 from itertools import pairwise
 
 import onyxhead.interface as say
-from tests.rig import COLD_TIME, SECOND, Rig, deployment, draining, gone, group, ready
+from tests.rig import COLD_TIME, GRACE, SECOND, Rig, deployment, draining, gone, group, ready
 
 
 def fleet(count: int, *proxies: int, **other: object) -> Rig:
@@ -289,3 +289,29 @@
             rig.met(backend, 20, busy=1.0 if place % 3 == 0 else 0.2)
         rig.run(1)
     assert max(rig.tables[1].values()) == 1
+
+
+def test_withdrawals_that_reach_nobody_hold_up_no_join() -> None:
+    # Found on a bench day: joiners were told again what none of them held; the messages were never sent, so never
+    # answered, and counted as waiting for minutes.
+    rig = fleet(12, *range(12))
+    rig.hear(*(draining(f"b{n}") for n in range(2, 10)))
+    rig.run(4)
+    for proxy in range(20, 80):
+        rig.join(proxy, "b0", "b11")
+    rig.run(12)
+    assert all(mux.ordered for mux in rig.muxes.values()) and not rig.brain.unanswered
+
+
+def test_levels_and_full_tables_wait_for_withdrawals_that_many_joiners_must_hear() -> None:
+    rig = fleet(16, *range(16))
+    rig.hear(*(draining(f"b{n}") for n in range(8)))
+    rig.run(1)
+    rig.made.clear()
+    for proxy in range(20, 44):
+        rig.join(proxy, *(f"b{n}" for n in range(16)))
+    joined = rig.now
+    while not all(f"b{n}" in rig.muxes[proxy].shut for n in range(8) for proxy in range(20, 44)):
+        report(rig, 0)
+        rig.run(0.1)
+    assert rig.now - joined < GRACE, rig.now - joined
