A wrong table undone live in a storm; the store killed at every write; orders with digests

Need: what was open of versioned tables: the way back judged from traffic, compaction killed at every write, orders whose bytes flipped, versions with one number from two controllers. Orders carry a digest; older files get the column. Compaction's steps are constants.

--- a/onyxhead/store/store.py
+++ b/onyxhead/store/store.py
@@ -20,6 +20,7 @@
 LISTS_KEPT = 50
 ORDERS_KEPT = 20_000
 VERSIONS_KEPT = 1_000
+COMPACT_EVERY = 256
 MOST_PENDING = 10_000
 RETRY = 1.0
 
@@ -31,7 +32,7 @@
 ) strict, without rowid;
 create table if not exists withdrawn (backend text primary key, at real) strict, without rowid;
 create table if not exists orders (
-    number integer primary key, at real, epoch integer, turn integer, causes text, decisions text
+    number integer primary key, at real, epoch integer, turn integer, causes text, decisions text, digest text
 ) strict;
 create table if not exists commits (
     number integer primary key, at real, tree text, user text, what text, until real, back integer, persist text
@@ -111,6 +112,8 @@
             if (found := db.execute("pragma quick_check").fetchone()[0]) != "ok":
                 raise _Broken(found)
             db.executescript(TABLES)
+            if "digest" not in {row[1] for row in db.execute("pragma table_info(orders)")}:
+                db.execute("alter table orders add column digest text")
             with db:
                 row = db.execute("select value from meta where name = 'epoch'").fetchone()
                 epoch = (row[0] if row else 0) + 1
@@ -146,12 +149,12 @@
             self._put("delete from withdrawn where backend = ?", backend)
 
     def ordered(self, epoch: int, turn: int, causes: Iterable[str], decisions: list[Any]) -> None:
-        texts = json.dumps(list(causes)), json.dumps(decisions)
+        row = self.wall(), epoch, turn, json.dumps(list(causes)), json.dumps(decisions)
         self._put(
-            "insert into orders (at, epoch, turn, causes, decisions) values (?, ?, ?, ?, ?)",
-            self.wall(), epoch, turn, *texts,
+            "insert into orders (at, epoch, turn, causes, decisions, digest) values (?, ?, ?, ?, ?, ?)",
+            *row, _record(*row),
         )  # fmt: skip
-        if turn % 256 == 0:
+        if turn % COMPACT_EVERY == 0:
             self._put(f"delete from orders where number <= (select max(number) - {ORDERS_KEPT} from orders)")
 
     # What must be on disk before it is answered
@@ -177,7 +180,7 @@
         text = json.dumps(changes, separators=(",", ":"))
         sql = "insert or replace into versions values (?, ?, ?, ?, ?, ?)"
         self._put(sql, number, epoch, at, cause, text, _record(number, epoch, at, cause, text))
-        if number % 256 == 0:
+        if number % COMPACT_EVERY == 0:
             self._put(f"delete from versions where number <= {number - 2 * VERSIONS_KEPT}")
 
     def versions(self) -> list[tuple[int, int, int, str, list[Any]]]:
@@ -222,11 +225,18 @@
             raise Unusable(f"{self.path}: {error}") from None
 
     def orders(self, most: int) -> list[dict[str, Any]]:
-        """The last orders, newest first. Raises Unusable."""
+        """The last orders, newest first; `sound` is False where a record's bytes are not those that were written, and
+        what it says is then left out. None: written by a program that kept no digests. Raises Unusable."""
         names = ("number", "at", "epoch", "turn", "causes", "decisions")
-        rows = self._rows(f"select {', '.join(names)} from orders order by number desc limit ?", most)
-        found = [dict(zip(names, row, strict=True)) for row in rows]
-        return [each | {key: json.loads(each[key]) for key in ("causes", "decisions")} for each in found]
+        rows = self._rows(f"select {', '.join(names)}, digest from orders order by number desc limit ?", most)
+        found = []
+        for *row, digest in rows:
+            each: dict[str, Any] = dict(zip(names, row, strict=True))
+            sound = None if digest is None else digest == _record(*row[1:])
+            for key in ("causes", "decisions"):
+                each[key] = [] if sound is False else json.loads(each[key])
+            found.append(each | {"sound": sound})
+        return found
 
     def close(self) -> None:
         """Everything handed over is on disk when this returns, if the disk takes it."""
--- a/onyxhead/trial/audit.py
+++ b/onyxhead/trial/audit.py
@@ -17,6 +17,8 @@
 import h11
 
 Event = dict[str, Any]
+LISTED = 1_000_000
+"""A line of a backend listed at 1, as the published formats carry it."""
 SLACK = 0.05
 """Seconds that the stand-ins' own clocks and schedulers may add to what a rule allows."""
 
@@ -193,6 +195,7 @@
     ended = {e["flow"] for e in events if e["what"] == "ended"}
     whole = sum(asked[flow]["utility"] for flow in ended if flow in asked)
     served = sum(asked[flow]["utility"] for flow in good if flow in asked)
+    undone, never = restored(events, pushes)
     slowest = max(withdrawals(pushes, stays, lists), default=0.0)
     return {
         "rules": {rule: len(broken) for rule, broken in found.items()},
@@ -207,6 +210,8 @@
         "joins": len(stays),
         "apart_max_ms": round(max(gaps(stays), default=0.0) * 1000),
         "withdrawal_max_ms": round(slowest * 1000),
+        "undone_max_ms": round(undone * 1000),
+        "not_undone": never,
         "seed": seed,
     }
 
@@ -232,6 +237,51 @@
     return count
 
 
+def restored(events: list[Event], pushes: list[Push]) -> tuple[float, int]:
+    """After a wrong table and the command to undo it: how long until the last agent's lines were right again, by what
+    was pushed to it, and how many agents never came to that. Lines of backends that left since don't count."""
+    wrong = next((event for event in events if event["what"] == "wrong"), None)
+    asked = [event["t"] for event in events if event["what"] == "undo"]
+    if wrong is None or not asked:
+        return 0.0, 0
+    worst, never = 0.0, 0
+    for agent in sorted({push.agent for push in pushes}):
+        held: dict[str, Any] = {}
+        since: float | None = None
+        spoiled = False
+        for push in sorted((p for p in pushes if p.agent == agent and p.status < 300), key=lambda p: p.answered):
+            held = push.document if push.whole else merged(held, push.document)
+            tables = held.get("tables", {}).values()
+            lines = [
+                lines[name]
+                for each in tables
+                if (lines := each.get("lines", {}))
+                for name in wrong["backends"]
+                if name in lines
+            ]
+            low = any(line["weight"] < LISTED / 10 for line in lines)
+            spoiled = spoiled or (low and push.answered < asked[0])
+            if push.answered >= asked[0]:
+                since = None if low else (push.answered if since is None else since)
+        if spoiled:
+            never += since is None
+            worst = max(worst, (since or asked[0]) - asked[0])
+    return worst, never
+
+
+def merged(held: Any, patch: Any) -> Any:  # noqa: ANN401
+    """RFC 7396: what a merge patch makes of a document."""
+    if not isinstance(patch, dict):
+        return patch
+    result = dict(held) if isinstance(held, dict) else {}
+    for name, value in patch.items():
+        if value is None:
+            result.pop(name, None)
+        else:
+            result[name] = merged(result.get(name), value)
+    return result
+
+
 def bare(events: list[Event], stays: list[Stay], lists: Lists, figures: dict[str, float]) -> list[str]:
     found = []
     since: dict[tuple[str, str], float] = {}
--- a/onyxhead/trial/days.py
+++ b/onyxhead/trial/days.py
@@ -110,6 +110,37 @@
     return [(at, more), (at + span / 3, lambda fleet: fleet.say("client", {"burst": 1.4}))]
 
 
+def wrong_table(at: float, span: float) -> Steps:
+    """Somebody lists most backends at a fiftieth of their weight; an operator goes back to the version before, at every
+    controller, and the list is put right much later."""
+    before: dict[str, int] = {}
+    wrong: list[str] = []
+
+    def spoil(fleet: Fleet) -> None:
+        for name in fleet.controllers:
+            if (told := fleet.ask(name, "/v1/tables/log", {"most": 1})) is not None:
+                before[name] = told[0]["version"]
+        wrong.extend(_some(fleet, fleet.up(), 0.6))
+        for name in wrong:
+            fleet.listed[name]["weight"] = 0.02
+        fleet.publish()
+        fleet.note({"what": "wrong", "backends": wrong})
+
+    def undo(fleet: Fleet) -> None:
+        for name, version in before.items():
+            given = {"version": str(version), "seconds": 600.0}
+            answer = fleet.ask(name, "/v1/tables/rollback", given)
+            fleet.note({"what": "undo", "controller": name, "version": version, "done": answer is not None})
+
+    def mend(fleet: Fleet) -> None:
+        for name in wrong:
+            if name in fleet.listed:
+                fleet.listed[name]["weight"] = 1.0
+        fleet.publish()
+
+    return [(at, spoil), (at + 2.5, undo), (at + max(4.0, 0.9 * span), mend)]
+
+
 def balancer_crash(at: float, span: float, what: str = "proxies", share: float = 0.5) -> Steps:
     def pick(fleet: Fleet) -> list[str]:
         return _some(fleet, list(getattr(fleet, what)), share)
@@ -223,12 +254,14 @@
     "answer_lost": lambda at, span: _spell(at, span, _backends(0.7), {"lost": 0.2}, {"lost": 0.0}),
     "class_fail": lambda at, span: _spell(at, span, _backends(0.4), {"failing group": "report"}, {"failing group": ""}),
     "flapping": flapping,
+    "wrong_table": wrong_table,
     "discovery_down": lambda at, span: _spell(at, span, _one("discovery"), {"refuse": True}, {"refuse": False}),
 }
 DAYS = {
     "quiet": (),
     "storm": ("deploy", "burst", "balancer_crash"),
     "siege": ("siege",),
+    "wrong": ("deploy", "burst", "balancer_crash", "wrong_table"),
     "restart": ("deploy", "restart"),
     "cut": ("zone_cut", "controller_crash"),
 }
--- a/onyxhead/trial/run.py
+++ b/onyxhead/trial/run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import json
 import os
@@ -17,6 +18,8 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from onyxhead.http.client import ask_once
+from onyxhead.http.messages import Fault, Request
 from onyxhead.trial.audit import judge
 
 ZONES = ("north", "south", "east")
@@ -197,6 +200,21 @@
                 process.stdin.write(json.dumps(told).encode() + b"\n")
                 process.stdin.flush()
 
+    # What an operator would do, and what the day's script says of itself
+
+    def ask(self, controller: str, target: str, given: dict[str, Any]) -> Any:  # noqa: ANN401
+        """A controller's answer, None if it gives none."""
+        request = Request("POST", target, {}, json.dumps(given).encode())
+        address = ("127.0.0.1", self.controllers[controller][1])
+        with contextlib.suppress(OSError, TimeoutError, Fault, ValueError):
+            response = asyncio.run(ask_once(address, request, 2.0))
+            return response.json() if response.status == 200 else None
+        return None
+
+    def note(self, event: dict[str, Any]) -> None:
+        with open(self.folder / "record" / "script.jsonl", "a", encoding="utf-8") as file:
+            file.write(json.dumps({"t": time.time()} | event) + "\n")
+
     # Backends and their list
 
     def document(self) -> dict[str, Any]:
@@ -285,5 +303,6 @@
         any(verdict["rules"].values())
         or verdict["torn_reads"] > 0
         or verdict["doubled_orders"] > 0
+        or verdict["not_undone"] > 0
         or not verdict["flows"]
     )
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -10,12 +10,14 @@
 from click.testing import CliRunner
 from immutables import Map
 
+import onyxhead.interface as say
+from onyxhead.agent.keeper import Taken
 from onyxhead.cli.main import main
 from onyxhead.controller.ways import run as ask
 from onyxhead.store.store import Store
 from onyxhead.tables.history import History, Refused, Truth, Unknown, diff, overlay, plan
 from onyxhead.tables.view import MODULUS, leaf_hash
-from tests.fleetrig import SECOND, Rig
+from tests.fleetrig import SECOND, Rig, request_of
 from tests.test_sockets import Running, list_of, play, port_of, shown, until
 
 FULL = 1_000_000
@@ -328,3 +330,28 @@
         assert second.house.history.last.number > good and SECOND == 10_000
 
     play(tmp_path, work)
+
+
+def test_two_versions_with_one_number_from_two_controllers_are_never_mixed_up() -> None:
+    first, second = Rig(backends=5, proxies=2, seed=1), Rig(backends=5, seed=2)
+    first.run(2)
+    second.run(2)
+    first.set("b1", "draining")
+    first.run(2)
+    second.set("b3", "draining")
+    second.run(2)
+    one, two = first.house.history.last, second.house.history.last
+    assert one.number == two.number and one.tag != two.tag
+    # The proxy is handed over; an order of the first controller's version, late on its way, finds another view.
+    late = first.house.books.messages(77, [say.TableChange(0, (("b2", 0.5),))])[0]
+    second.keepers = {"p0": first.keepers["p0"]}
+    second.join("p0")
+    second.run(2)
+    held = second.keepers["p0"].view.tag
+    refused = second.keepers["p0"].take(request_of(late, "p0", second.now))
+    assert not isinstance(refused, Taken) and refused.status == 412 and second.keepers["p0"].view.tag == held
+    # By that number each controller finds its own version, and what it would bring back.
+    assert second.house.history.find(str(two.number)).tag == two.tag
+    with pytest.raises(Refused, match="already"):
+        second.house.roll_back(second.now, str(two.number), 60.0)
+    assert {b for _, b in first.house.history.find(str(one.number)).lines} == {"b0", "b2", "b3", "b4"}
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -89,3 +89,75 @@
     (tmp_path / "file").write_text("")
     with pytest.raises(Unusable, match="file"):
         Store(tmp_path / "file" / "state")
+
+
+def test_an_order_whose_bytes_were_flipped_is_told_and_an_older_file_is_read(tmp_path: Path) -> None:
+    filled(tmp_path).close()
+    with sqlite3.connect(tmp_path / "onyxhead.db") as db:
+        db.execute("update orders set decisions = replace(decisions, 'b1', 'b7')")
+        db.execute("insert into orders (at, epoch, turn, causes, decisions) values (1.0, 1, 8, '[]', '[]')")
+    own = Store(tmp_path)
+    older, flipped = own.orders(5)
+    assert (older["sound"], flipped["sound"], flipped["decisions"]) == (None, False, [])
+    own.close()
+
+
+def test_a_file_of_the_program_before_digests_of_orders_gets_them(tmp_path: Path) -> None:
+    filled(tmp_path).close()
+    with sqlite3.connect(tmp_path / "onyxhead.db") as db:
+        db.execute("alter table orders drop column digest")
+    own = Store(tmp_path)
+    own.ordered(2, 10, ["time"], [])
+    own.close()
+    assert [each["sound"] for each in Store(tmp_path).orders(5)] == [True, None]
+
+
+PAGE, FRAME, HEAD = 4096, 4096 + 24, 32
+
+
+def test_killed_at_every_write_also_of_compaction_it_comes_back_to_what_had_been_committed(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(module, "COMPACT_EVERY", 4)
+    monkeypatch.setattr(module, "VERSIONS_KEPT", 3)
+    folder = tmp_path / "own"
+    own = Store(folder, lambda: 100.0)
+    # While this connection is open nothing is copied from the log to the file, so the log holds every write.
+    held = sqlite3.connect(folder / "onyxhead.db")
+    held.execute("select count(*) from versions").fetchall()
+    states: list[list[int]] = [[]]
+    for number in range(1, 15):
+        own.version(number, 1, number, "time", [[0, f"b{number}", 1]])
+        until = time.monotonic() + 5
+        while (rows := [row[0] for row in own.versions()])[-1:] != [number] and time.monotonic() < until:
+            time.sleep(0.002)
+        time.sleep(0.02)
+        states.append([row[0] for row in own.versions()])
+    assert len(states[-1]) < 14 and rows
+    before, log = (folder / "onyxhead.db").read_bytes(), (folder / "onyxhead.db-wal").read_bytes()
+    held.close()
+    own.close()
+    after = (folder / "onyxhead.db").read_bytes()
+    ends = [HEAD + FRAME * n for n in range((len(log) - HEAD) // FRAME + 1)]
+    last = -1
+    for end in sorted({0, 7, *ends, *(end + FRAME // 3 for end in ends[:-1])}):
+        found = recovered(tmp_path / f"log{end}", before, log[:end])
+        place = max(n for n, state in enumerate(states) if state == found)
+        assert place >= last, end
+        last = place
+    assert last == len(states) - 1
+    # Killed while the log is copied into the file: some pages are new, and the log is still whole.
+    for pages in range(0, len(after) // PAGE + 1):
+        mixed = after[: pages * PAGE] + before[pages * PAGE :]
+        assert recovered(tmp_path / f"copy{pages}", mixed, log) == states[-1]
+
+
+def recovered(folder: Path, body: bytes, log: bytes) -> list[int]:
+    folder.mkdir()
+    (folder / "onyxhead.db").write_bytes(body)
+    (folder / "onyxhead.db-wal").write_bytes(log)
+    again = Store(folder)
+    found = [row[0] for row in again.versions()]
+    assert not again.notes, again.notes
+    again.close()
+    return found
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from onyxhead.trial.audit import judge
+from onyxhead.trial.audit import Push, judge, restored
 from onyxhead.trial.days import DAYS, TROUBLES, script
 from onyxhead.trial.run import Size, broken, play
 
@@ -113,10 +113,27 @@
     assert verdict(tmp_path, *PUSHES[:2], *older)["doubled_orders"] == 1
 
 
+def pushed(agent: str, at: float, whole: bool, weight: int | None) -> Push:
+    line = None if weight is None else {"address": "127.0.0.1:1", "weight": weight, "zone": "north"}
+    return Push("c0", agent, at, at, at, 200, 9, whole, {"tables": {"t0": {"lines": {"b1": line}}}}, "s", 1)
+
+
+def test_a_wrong_table_that_is_not_undone_everywhere_is_found() -> None:
+    script = [{"t": 5.0, "what": "wrong", "backends": ["b1"]}, {"t": 7.0, "what": "undo", "controller": "c0", "version": 3, "done": True}]
+    right = [pushed("p0", 1.0, True, 1_000_000), pushed("p0", 5.5, False, 20_000), pushed("p0", 7.4, False, 900_000)]
+    assert restored(script, right) == (pytest.approx(0.4), 0)
+    assert restored(script, [*right, pushed("p0", 9.0, False, 20_000)])[1] == 1
+    assert restored(script, right[:2])[1] == 1
+    # One whose backend has left holds no wrong line; one that was never spoiled counts for nothing.
+    assert restored(script, [*right[:2], pushed("p0", 7.2, False, None)]) == (pytest.approx(0.2), 0)
+    assert restored(script, [pushed("p1", 1.0, True, 1_000_000)]) == (0.0, 0)
+
+
 @pytest.mark.parametrize("name", sorted(DAYS))
 def test_a_whole_day_on_loopback_keeps_the_rules(name: str) -> None:
     size = Size(controllers=3 if name == "siege" else 2, proxies=6, backends=9, rate=80.0)
     found = play(name, 2, 40.0 if name == "siege" else 14.0, size)
     assert not broken(found), found
     assert found["swaps"] > 12 and found["service"] > 0.6 and found["joins"] >= 6
+    assert name != "wrong" or 0 < found["undone_max_ms"] < 2000
     assert name != "storm" or 0 < found["withdrawal_max_ms"] < 1500
