Load report intake: a picture of true load from more reports than can be weighed

Need: probe reports and load headers come faster than a controller can weigh, late, noisy and sometimes false. Change: onyxhead/intake (fair sampling of undecoded bodies, age by the sender's own clock, change points, error bars, words against what proxies met), receivers as processes that only add up, courses on disk by Whisper, onyxhead load; the module hears the believed busy share where it is young.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -6,7 +6,7 @@
 import json
 import sys
 
-NAMES = ("swaps", "batch", "fan", "days", "commits", "tables")
+NAMES = ("swaps", "batch", "fan", "days", "commits", "tables", "intake")
 
 
 def main() -> int:
--- a/onyxhead/cli/main.py
+++ b/onyxhead/cli/main.py
@@ -148,6 +148,33 @@
     click.echo(ask(address, "/v1/config", identity)["records"], nl=False)
 
 
+@main.command()
+@click.argument("address")
+@click.option("--json", "as_json", is_flag=True, help="All that is known, as JSON.")
+@click.option("--as", "identity", type=EXISTING, help="FOLDER/NAME of the certificate to show.")
+def load_view(address: str, as_json: bool, identity: Path | None) -> None:
+    """Show what the controller at ADDRESS takes for true of its backends' load, how sure it is, and whom it doubts."""
+    state = ask(address, "/v1/load", identity)
+    if as_json:
+        click.echo(json.dumps(state, indent=2))
+        return
+    click.echo(" ".join(f"{name}={count}" for name, count in sorted(state["counts"].items())))
+    rows = [
+        {"backend": name} | {key: _figure(value) for key, value in own.items()}
+        for name, own in state["backends"].items()
+    ]
+    show_rows("load", rows)
+
+
+def _figure(value: object) -> str:
+    if isinstance(value, dict):
+        return f"{value['value']:.3g}±{value['error']:.2g}"
+    return "-" if value is None else str(value)
+
+
+main.add_command(load_view, "load")
+
+
 @main.group()
 def tables() -> None:
     """Versions of a controller's tables, and the way back."""
--- a/onyxhead/controller/daemon.py
+++ b/onyxhead/controller/daemon.py
@@ -12,6 +12,7 @@
 import time
 from collections.abc import AsyncIterator
 from typing import TYPE_CHECKING, Any, NamedTuple
+from urllib.parse import parse_qs, unquote
 
 import structlog
 
@@ -23,11 +24,14 @@
 from onyxhead.controller.configuration.views import as_records, deployment, overlaid, tree_of
 from onyxhead.controller.house import House, Joining, Work
 from onyxhead.controller.probe import look
+from onyxhead.controller.reception import Reception
 from onyxhead.fleet.fence import Fenced, next_token
 from onyxhead.fronts.files.push import Encoder, Refused, Stream
 from onyxhead.http.messages import Request, Response, answer, problem
 from onyxhead.http.server import Server
 from onyxhead.keys.rotate import Keys, Peer, peer_of
+from onyxhead.series.courses import Courses
+from onyxhead.series.courses import Unknown as Missing
 from onyxhead.settings.load import Controller
 from onyxhead.store.store import Store
 from onyxhead.tables.history import History, Unknown
@@ -94,6 +98,7 @@
         self.probing = asyncio.Semaphore(settings.probes.at_once)
         self.list_heard_at = 0.0
         self.alliance = Alliance(self, settings.fleet) if settings.fleet is not None else None
+        self.reception = Reception(self, settings.intake) if settings.intake is not None else None
         self._remember()
 
     def _house(self, start: say.Deployment, epoch: int, numbers: dict[str, int], history: History) -> House:
@@ -153,6 +158,8 @@
             self.start(self._rotate(self.keys, (host, port), self.settings.tls.every))
         if self.alliance is not None:
             self.start(self.alliance.run())
+        if self.reception is not None:
+            self.start(self.reception.run())
         self.start(self._follow())
         self.start(self._steps())
         try:
@@ -440,6 +447,14 @@
                 return answer(200, {"records": as_records(tree, self.settings.prefixes)})
             case "GET", ["v1", "orders"]:
                 return answer(200, await asyncio.to_thread(self.store.orders, NUMBER_OF_ORDERS))
+            case ("POST", ["v1", "load", sender]) if self.reception is not None:
+                return self.reception.take(sender, request.body)
+            case ("GET", ["v1", "load", "busy"]) if self.reception is not None:
+                return answer(200, self.reception.brief())
+            case ("GET", ["v1", "load"]) if self.reception is not None:
+                return answer(200, self.reception.state())
+            case ("GET", ["v1", "series", *name]) if self.reception is not None and self.reception.courses is not None:
+                return await self._course(self.reception.courses, unquote("/".join(name)), request.target)
             case (("GET" | "POST"), ["v1", "tables", what]):
                 return self._tables(what, request)
             case ("POST", ["v1", "fleet"]) if self.alliance is not None:
@@ -457,6 +472,19 @@
                 return self._sums(name, request)
         return problem(404, "nothing here")
 
+    async def _course(self, courses: Courses, name: str, target: str) -> Response:
+        if not name:
+            return answer(200, await asyncio.to_thread(courses.names))
+        asked = parse_qs(target.partition("?")[2])
+        try:
+            until = float(asked.get("until", [str(time.time())])[0])
+            since = float(asked.get("since", [str(until - 3600)])[0])
+            return answer(200, await asyncio.to_thread(courses.read, name, since, until))
+        except Missing as error:
+            return problem(404, str(error.args[0]))
+        except ValueError as error:
+            return problem(400, str(error))
+
     def state(self) -> dict[str, Any]:
         kept = {"failing": self.store.failing, "dropped": self.store.dropped}
         age = round(time.time() - self.list_heard_at, 1) if self.list_heard_at else None
@@ -542,6 +570,8 @@
 
 def may_ask(request: Request, parts: list[str], peer: Peer | None) -> bool:
     """An agent speaks for itself only; operators and controllers may look."""
+    if parts[:2] == ["v1", "load"] and request.method == "POST":
+        return peer == Peer("agent", parts[2] if len(parts) > 2 else "")
     if parts[:2] == ["v1", "proxies"] and request.method != "GET":
         return peer == Peer("agent", parts[2] if len(parts) > 2 else "")
     return peer is not None and (request.method == "GET" or peer.role in ("operator", "controller"))
--- a/onyxhead/controller/house.py
+++ b/onyxhead/controller/house.py
@@ -18,6 +18,7 @@
 from onyxhead.controller.roster import Followed
 from onyxhead.controller.sums import Gate, Gathered, Report
 from onyxhead.fleet.budget import Budget, Life, Loan, Strain
+from onyxhead.intake.picture import Picture
 from onyxhead.tables.canary import Canary, Verdict, chosen
 from onyxhead.tables.history import Back, History, Key, Pin, Refused, Truth, Unknown, Version, plan
 from onyxhead.tables.orders import Books, Hold, Message
@@ -114,6 +115,7 @@
                 self.fresh_versions.append((version, gone))
         self.pin: Pin | None = None
         self.canary: Canary | None = None
+        self.picture = Picture()
         self.group_numbers = {name: place for place, name in enumerate(groups)}
 
     # What is heard
@@ -130,6 +132,8 @@
             self.books.places[backend] = place
             self.by_address[place.address] = backend
         self.listed |= {entry.backend: entry for entry in news.listed}
+        serving = [entry for entry in self.listed.values() if entry.ready or entry.draining]
+        self.picture.listed({entry.backend: str(entry.kind) for entry in serving})
         self.brain.learn_list(now, news.kind, news.listed)
         self._cause(f"list: {len(news.listed)} {'entries' if news.kind is say.News.WHOLE else 'changes'}")
 
@@ -177,6 +181,7 @@
         self.applied.pop(proxy, None)
         self.brain.proxy_left(now, proxy)
         self.counts["breaks"] += 1
+        self.picture.left(known.name)
         self._cause(f"{known.name} left{': ' + why if why else ''}")
 
     def answered(self, now: int, proxy: int, message: Message, tag: str, ordered: int) -> None:
@@ -240,8 +245,14 @@
             for zone, backend, own, load in met:
                 mean = round(own.time / (own.tries - own.bad)) if own.tries > own.bad else 0
                 span = own.span or self.start.report_every
+                self.picture.met(now, backend, own.tries, own.bad, mean / 10, span, span // 2)
+                # A word that agrees with what proxies met, and is young, tells more than the last answer's header.
+                if (busy := self.picture.busy(now, backend)) is not None:
+                    load = load._replace(busy=busy)
                 self.brain.learn_tries(now, backend, zone, own.tries, own.bad, mean, span, load)
             for proxy, group, came, span in flows:
+                if span > 0 and proxy in self.joined:
+                    self.picture.came(now, self.joined[proxy].name, self.groups[group], came * 10_000 / span)
                 self.brain.learn_intake(now, proxy, group, came, span)
         self._decide(now)
         if self.pin is not None and now >= self.pin.until:
--- /dev/null
+++ b/onyxhead/controller/receiver.py
@@ -0,0 +1,117 @@
+"""A process of its own that takes load reports and hands sums to the controller: one core each, nothing shared.
+
+Several listen on one address, so that the kernel deals connections out. None judges anything: a receiver adds up what
+it decoded, by backend and life, and sums add up the same in any order. What a backend's load means is thought in one
+place."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import struct
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from onyxhead.controller.clock import Clock
+from onyxhead.http.messages import Request, Response, answer, problem
+from onyxhead.http.server import Server
+from onyxhead.intake.picture import Decoder, Sums
+from onyxhead.keys.rotate import Keys, Unusable, peer_of
+from onyxhead.settings.load import Tls
+
+HEAD = struct.Struct(">I")
+MOST_BODY = 256 * 1024
+BITE = 0.1
+"""Of a second's budget, what one bite takes at most."""
+
+
+class Frame(msgspec.Struct, array_like=True):
+    """`counts` since the last one."""
+
+    counts: dict[str, int]
+    sums: list[Sums]
+
+
+ENCODE, DECODE = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Frame)
+
+
+class Taking:
+    """The decoding path, in whatever process: requests in, sums out at each beat."""
+
+    def __init__(self, seed: int, budget: int, keys: Keys | None, clock: Clock) -> None:
+        self.decoder, self.budget, self.keys, self.clock = Decoder(seed), budget, keys, clock
+        self.credit, self.at = 0.0, clock.now()
+
+    async def answer(self, request: Request, writer: asyncio.StreamWriter) -> Response:
+        parts = request.target.strip("/").split("/")
+        if request.method != "POST" or parts[:2] != ["v1", "load"] or len(parts) != 3:
+            return problem(404, "nothing here")
+        if self.keys is not None:
+            peer = peer_of(writer.get_extra_info("peercert"))
+            if peer is None or peer.role != "agent" or peer.name != parts[2]:
+                return problem(403, "this certificate may not report that")
+        return self.take(parts[2], request.body)
+
+    def take(self, sender: str, body: bytes) -> Response:
+        if len(body) > MOST_BODY:
+            return problem(413, f"a body of over {MOST_BODY} bytes")
+        if not self.decoder.offer(sender, body, self.clock.now()):
+            return problem(503, "too many senders")
+        return answer(202, {})
+
+    def beat(self) -> Frame:
+        now = self.clock.now()
+        # In bytes a second; a bite taken too large is paid back before the next one.
+        self.credit = min(BITE * self.budget, self.credit + self.budget * (now - self.at) / 10_000)
+        self.at = now
+        sums = self.decoder.work(now, round(self.credit)) if self.credit > 0 else []
+        self.credit -= self.decoder.used if self.credit > 0 else 0
+        counts, self.decoder.counts = dict(self.decoder.counts), type(self.decoder.counts)()
+        return Frame(counts, sums)
+
+
+async def serve(given: dict[str, Any]) -> None:
+    files = given.get("tls")
+    keys = None
+    if files:
+        certificate, key, authorities, revoked = (Path(each) if each else None for each in files)
+        assert certificate and key and authorities
+        keys = Keys(Tls(certificate, key, authorities, revoked, 1.0))
+    taking = Taking(given["seed"], given["budget"], keys, Clock(time.time, time.monotonic))
+    server = Server(taking.answer, MOST_BODY)
+    host, port = given["listen"]
+    await server.start(host, port, keys.server if keys else None)
+    loop = asyncio.get_running_loop()
+    reader = asyncio.StreamReader()
+    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    transport, protocol = await loop.connect_write_pipe(asyncio.streams.FlowControlMixin, os.fdopen(1, "wb", 0))
+    writer = asyncio.StreamWriter(transport, protocol, None, loop)
+    # The controller's end of standard input is held for as long as it lives; its end is the end of this process.
+    over = asyncio.create_task(reader.read())
+    looked = 0
+    while not over.done():
+        await asyncio.sleep(given["every"])
+        body = ENCODE.encode(taking.beat())
+        writer.write(HEAD.pack(len(body)) + body)
+        await writer.drain()
+        looked += 1
+        if keys is not None and looked % 50 == 0 and keys.refresh() == "":
+            await server.start(host, port, keys.server)
+
+
+def main() -> int:
+    try:
+        asyncio.run(serve(json.loads(sys.argv[1])))
+    except (OSError, Unusable) as error:
+        print(error, file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/onyxhead/intake/change.py
@@ -0,0 +1,82 @@
+"""Tells a change of level from noise, with a stated rate of false alarms. No I/O.
+
+Page's cumulative sums, two-sided, over figures standardised by a level and a spread learnt before. Weighed: a fixed
+threshold on the last figure (late for small changes, or alarmed by each outlier), Bayesian online detection (a table
+of run lengths for each of thousands of series). The threshold comes from the wanted mean number of figures between
+false alarms by Siegmund's approximation (D. Siegmund, Sequential Analysis, 1985, section 2.5)."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from functools import lru_cache
+
+ALLOWANCE = 0.5
+"""Of a spread; changes of twice this are found soonest."""
+LEARNT = 24
+"""From so many figures on the level counts as known; before, nothing is an alarm."""
+CLIP = 4.0
+"""One figure further out than this says no more: an outlier is not a change."""
+SLOW = 1 / 64
+RECENT = 5
+
+
+@lru_cache(maxsize=64)
+def threshold(figures: float, allowance: float = ALLOWANCE) -> float:
+    """The bound on a one-sided sum that noise passes once in so many figures on average."""
+
+    def between(bound: float) -> float:
+        b = bound + 1.166
+        return (math.exp(2 * allowance * b) - 2 * allowance * b - 1) / (2 * allowance * allowance)
+
+    low, high = 0.0, 60.0
+    for _ in range(60):
+        middle = (low + high) / 2
+        low, high = (middle, high) if between(middle) < figures else (low, middle)
+    return high
+
+
+class Change:
+    """One series. `figures`: false alarms come once in so many figures of noise, both sides together."""
+
+    __slots__ = ("bound", "count", "down", "level", "recent", "spread", "up")
+
+    def __init__(self, figures: float = 2_000.0) -> None:
+        # A level learnt from few figures is itself off, which noise then shows as change; so the bound is put higher.
+        self.bound = threshold(4 * figures)
+        self.recent: deque[float] = deque(maxlen=RECENT)
+        self.level = self.spread = 0.0
+        self.count = 0
+        self.up = self.down = 0.0
+
+    def add(self, figure: float) -> int:
+        """1 or -1 where the level has risen or fallen, else 0. After an alarm the level is learnt anew, from the
+        last."""
+        self.recent.append(figure)
+        self.count += 1
+        if self.count <= LEARNT:
+            self._learn(figure, 1 / self.count)
+            return 0
+        sd = max(math.sqrt(self.spread), 1e-3 * abs(self.level), 1e-9)
+        z = max(-CLIP, min(CLIP, (figure - self.level) / sd))
+        self.up = max(0.0, self.up + z - ALLOWANCE)
+        self.down = max(0.0, self.down - z - ALLOWANCE)
+        self._learn(self.level + z * sd, SLOW)
+        if max(self.up, self.down) < self.bound:
+            return 0
+        sign = 1 if self.up > self.down else -1
+        self.restart()
+        return sign
+
+    def restart(self) -> None:
+        recent = list(self.recent)[-3:]
+        self.level = self.spread = 0.0
+        self.count, self.up, self.down = 0, 0.0, 0.0
+        for place, figure in enumerate(recent, 1):
+            self.count = place
+            self._learn(figure, 1 / place)
+
+    def _learn(self, figure: float, share: float) -> None:
+        off = figure - self.level
+        self.level += share * off
+        self.spread = (1 - share) * (self.spread + share * off * off)
--- /dev/null
+++ b/onyxhead/series/__init__.py
@@ -0,0 +1,1 @@
+"""Courses over time on disk: bounded, coarser with age, gaps kept as gaps."""
--- a/onyxhead/settings/load.py
+++ b/onyxhead/settings/load.py
@@ -90,6 +90,16 @@
     settle: int
 
 
+class Intake(NamedTuple):
+    """`every` in seconds, `budget` in bytes a second."""
+
+    listen: Address | None
+    processes: int
+    every: float
+    budget: int
+    series: Path | None
+
+
 class Controller(NamedTuple):
     """Times in seconds but for those of `start`, which are the module's."""
 
@@ -110,6 +120,7 @@
     netconf: Netconf | None
     tls: Tls | None
     fleet: Fleet | None
+    intake: Intake | None = None
 
 
 class Route(NamedTuple):
@@ -273,6 +284,13 @@
     fleet = _fleet(found["fleet"], addresses) if "fleet" in found else None
     if fleet is not None and found["name"] not in fleet.members:
         wrong(f"{found['name']!r} is not among its fleet's members", "fleet", "members")
+    intake = None
+    if (own := found.get("intake")) is not None:
+        place = addresses.read(own["listen"], "intake", "listen") if "listen" in own else None
+        if own["processes"] and place is None:
+            wrong("processes of their own need an address of their own: listen is missing", "intake", "processes")
+        series = here / found["state"] / "series" if own["series"] else None
+        intake = Intake(place, own["processes"], _seconds(own["every"]), own["budget"], series)
     if front is not None and front.tls is not None and "tls" not in found:
         wrong("NETCONF over TLS needs keys: tls is missing", "netconf")
     if faults:
@@ -282,7 +300,7 @@
         tuple(group.name for group in groups), zones, start, channel["patience"],
         Discovery(file, server, _seconds(given["every"])), _seconds(found["list_good_for"]),
         Probes(probes["path"], _seconds(probes["timeout"]), probes["at_once"]), Log(**found["log"]), overrides,
-        prefixes, front, _tls(found, here), fleet,
+        prefixes, front, _tls(found, here), fleet, intake,
     )  # fmt: skip
 
 
--- /dev/null
+++ b/tests/test_reception.py
@@ -0,0 +1,150 @@
+"""Load reports on sockets: decoded in the controller or by receivers, beside orders; courses on disk."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import time
+from pathlib import Path
+from typing import Any
+
+import pytest
+import whisper
+
+from onyxhead.controller.daemon import Daemon
+from onyxhead.http.client import ask_once
+from onyxhead.http.messages import Request
+from onyxhead.series.courses import Courses, Unknown
+from onyxhead.trial.run import free_ports
+from tests.test_intake import body, report
+from tests.test_sockets import BACKENDS, Running, list_of, play, port_of, shown, until
+
+
+def told(at: float, busy: float, count: int = 20) -> bytes:
+    return body(*[report(name, round(at * 10_000), cpu_utilization=busy, rps_fractional=50.0) for name in ("b1", "b2") for _ in range(count)])
+
+
+async def post(port: int, sender: str, sent: bytes) -> int:
+    return (await ask_once(("127.0.0.1", port), Request("POST", f"/v1/load/{sender}", {}, sent), 5.0)).status
+
+
+def busy(controller: Daemon, backend: str) -> float:
+    return controller.house.picture.busy(controller.clock.now(), backend) or 0.0
+
+
+def test_reports_reach_the_picture_and_a_flood_holds_up_no_withdrawal(tmp_path: Path) -> None:
+    async def work(running: Running) -> None:
+        running.more = "intake: {budget: 200000, series: false}\n"
+        controller = await running.controller()
+        await running.agent("p1", port_of(controller))
+        await until(lambda: len(shown(tmp_path, "p1")) == 3)
+        assert await post(port_of(controller), "b1", told(time.time(), 0.7)) == 202
+        await until(lambda: abs(busy(controller, "b2") - 0.7) < 0.01)
+        assert await post(port_of(controller), "x", b"x" * 300_000) == 413
+        over = False
+
+        async def flood(sender: str) -> None:
+            while not over:
+                await post(port_of(controller), sender, told(time.time(), 0.4, 400))
+
+        floods = [asyncio.create_task(flood(f"s{n}")) for n in range(4)]
+        await until(lambda: controller.reception is not None and controller.reception.counts["bodies shed"] > 20)
+        list_of(tmp_path, 2, [BACKENDS[0] | {"state": "draining"}, *BACKENDS[1:]])
+        began = time.monotonic()
+        await until(lambda: shown(tmp_path, "p1") == {9002, 9003})
+        assert time.monotonic() - began < controller.house.start.guards.drain_grace / 10_000
+        over = True
+        await asyncio.gather(*floods)
+        state: Any = (await ask_once(("127.0.0.1", port_of(controller)), Request("GET", "/v1/load"), 5.0)).json()
+        assert state["shed_most"] and state["backends"]["b2"]["busy"]["value"] == pytest.approx(0.4, abs=0.02)
+
+    play(tmp_path, work)
+
+
+@pytest.mark.parametrize("count", [1, 3])
+def test_receivers_hand_sums_to_one_judge_and_one_that_dies_is_started_again(tmp_path: Path, count: int) -> None:
+    async def work(running: Running) -> None:
+        (listen,) = free_ports(1)
+        running.more = f'intake: {{processes: {count}, listen: "127.0.0.1:{listen}", series: false}}\n'
+        controller = await running.controller()
+
+        async def heard(value: float) -> None:
+            async with asyncio.timeout(10):
+                while abs(busy(controller, "b1") - value) > 0.01:
+                    for n in range(6):
+                        try:
+                            await post(listen, f"s{n}", told(time.time(), value))
+                        except OSError:
+                            await asyncio.sleep(0.05)
+                    await asyncio.sleep(0.05)
+
+        await heard(0.8)
+        # Whoever got which report, the fleet's one picture has each backend once.
+        assert set(controller.house.picture.known) == {"b1", "b2"}
+        pids = [int(each) for each in children()]
+        assert len(pids) == count
+        os.kill(pids[0], signal.SIGKILL)
+        await until(lambda: controller.reception is not None and controller.reception.begun == count + 1)
+        await heard(0.3)
+
+    play(tmp_path, work)
+
+
+def children() -> list[str]:
+    """Receivers that this process started."""
+    found = []
+    for path in Path(f"/proc/{os.getpid()}/task").iterdir():
+        found += (path / "children").read_text().split()
+    return [pid for pid in set(found) if "receiver" in Path(f"/proc/{pid}/cmdline").read_bytes().decode()]
+
+
+def test_courses_keep_gaps_as_gaps_and_stay_bounded(tmp_path: Path) -> None:
+    own = Courses(tmp_path / "series", most=3)
+    now = time.time() // 10 * 10
+    for n in range(30):
+        if not 10 <= n < 20:
+            own.write(now - 300 + 10 * n, {"busy.b1": 0.5, "flows.p1/read": n})
+    found = own.read("flows.p1/read", now - 300, now)
+    figures = [None if each is None else int(each) for each in found["figures"]]
+    assert found["step"] == 10 and figures[8:22].count(None) >= 10 and figures.count(None) <= 12
+    size = sum(path.stat().st_size for path in (tmp_path / "series").iterdir())
+    for n in range(30):
+        own.write(now - 300 + 10 * n, {"busy.b1": 0.5, "flows.p1/read": n})
+    assert sum(path.stat().st_size for path in (tmp_path / "series").iterdir()) == size
+    own.write(now, {f"busy.n{n}": 1.0 for n in range(6)})
+    assert len(own.names()) == 3 and not own.failing
+    with pytest.raises(Unknown):
+        own.read("no.such", now - 10, now)
+
+
+@pytest.mark.parametrize("name", ["busy.../../etc", "a/b.c d", "busy." + "x" * 500, "busy.\x00", "flows.p1/read"])
+def test_a_courses_name_is_never_a_way_out_of_its_folder(tmp_path: Path, name: str) -> None:
+    own = Courses(tmp_path / "series")
+    own.write(time.time(), {name: 1.0})
+    assert not own.failing and len(list((tmp_path / "series").glob("*.wsp"))) == 1 and len(list(tmp_path.iterdir())) == 1
+    assert any(each is not None for each in own.read(name, time.time() - 60, time.time())["figures"])
+
+
+def test_a_broken_course_is_put_aside_and_begun_anew(tmp_path: Path) -> None:
+    own = Courses(tmp_path)
+    own.write(time.time(), {"busy.b1": 1.0})
+    (tmp_path / "busy.b1.wsp").write_bytes(b"\xff" * 10)
+    own.write(time.time(), {"busy.b1": 1.0, "busy.b2": 1.0})
+    assert "busy.b1" in own.failing and whisper.info(str(tmp_path / "busy.b2.wsp"))
+    own.write(time.time(), {"busy.b1": 1.0})
+    assert not own.failing and list(tmp_path.glob("*.broken"))
+
+
+def test_a_burst_of_years_old_reports_is_no_news(tmp_path: Path) -> None:
+    async def work(running: Running) -> None:
+        running.more = "intake: {series: false}\n"
+        controller = await running.controller()
+        for _ in range(20):
+            await post(port_of(controller), "b1", told(time.time(), 0.6, 2))
+        mixed = body(report("b1", round(time.time() * 10_000), cpu_utilization=0.6), report("b1", 20_000, cpu_utilization=0.01))
+        await post(port_of(controller), "b1", mixed)
+        await until(lambda: controller.reception is not None and controller.reception.counts["reports too old"] == 1)
+        assert busy(controller, "b1") == pytest.approx(0.6, abs=0.01)
+
+    play(tmp_path, work)
