nginx blocks carried over and back; locations decided as published, at any number

Need: others describe their routing in nginx files, and must see what comes over and what does not. Change: onyxhead import nginx (parsed by crossplane, reported line by line), onyxhead export nginx, onyxhead route; a routing core with hosts, overlapping, nested and regex locations, maps, splits; its plain model; a stand-in proxy that follows it. Lists in definitions may hold their own kind; an empty default no longer hides what is wrong in a list or record.

--- a/onyxhead/cli/main.py
+++ b/onyxhead/cli/main.py
@@ -444,6 +444,92 @@
         show_rows("certificates", rows)
 
 
+@main.group("import")
+def import_() -> None:
+    """Carry another program's configuration over."""
+
+
+@import_.command("nginx")
+@click.argument("file", type=EXISTING)
+@click.option("--out", type=EXISTING, help="Write the records here instead of to standard output.")
+@click.option("--report", type=EXISTING, help="Write the report here instead of to standard error.")
+@click.option("--strict", is_flag=True, help="Exit with 1 if anything was not carried.")
+def import_nginx(file: Path, out: Path | None, report: Path | None, strict: bool) -> None:
+    """Read nginx blocks from FILE and what it includes; say line by line what was carried whole, with a difference, or
+    not at all."""
+    import crossplane
+
+    from onyxhead.fronts.nginx.carry import Carrying
+    from onyxhead.routing.files import text
+
+    if not file.is_file():
+        stop(FAULTY, f"{file}:1: cannot read it: no such file")
+    try:
+        told = crossplane.parse(str(file), check_ctx=False, check_args=False)
+    except (OSError, UnicodeDecodeError, RecursionError) as error:
+        stop(FAULTY, f"{file}:1: cannot read it: {error}")
+    routing, lines = Carrying(told["config"]).run()
+    said = "".join(f"{line}\n" for line in lines)
+    if report is not None:
+        report.write_text(said, encoding="utf-8")
+    else:
+        click.echo(said, err=True, nl=False)
+    if any(line.directive == "syntax" for line in lines):
+        stop(FAULTY, f"{file}: nothing is written, since not all of it could be read")
+    if out is not None:
+        beside = out.with_name(f".{out.name}.new")
+        beside.write_text(text(routing), encoding="utf-8")
+        beside.replace(out)
+    else:
+        click.echo(text(routing), nl=False)
+    if strict and any(line.verdict == "not" for line in lines):
+        sys.exit(REFUSED)
+
+
+@main.group("export")
+def export_() -> None:
+    """Write records as another program's configuration."""
+
+
+def read_routing(file: Path) -> Any:  # noqa: ANN401
+    from onyxhead.routing.files import read
+
+    try:
+        return read(file)
+    except Faulty as error:
+        stop(FAULTY, *error.faults)
+
+
+@export_.command("nginx")
+@click.argument("file", type=EXISTING)
+def export_nginx(file: Path) -> None:
+    """Write the routing in FILE as nginx's upstream, server and location blocks."""
+    from onyxhead.fronts.nginx.write import Unsaid, blocks
+
+    try:
+        click.echo(blocks(read_routing(file)), nl=False)
+    except Unsaid as error:
+        stop(REFUSED, f"{file}: {error}")
+
+
+@main.command()
+@click.argument("file", type=EXISTING)
+@click.argument("host")
+@click.argument("path")
+@click.option("--known", multiple=True, metavar="NAME=VALUE", help="A variable, such as http_x_team=red.")
+def route(file: Path, host: str, path: str, known: tuple[str, ...]) -> None:
+    """Say where a flow to HOST and PATH goes by the routing in FILE, and why."""
+    from onyxhead.routing.choose import Router
+
+    way = Router(read_routing(file)).way(host, path, dict(each.partition("=")[::2] for each in known))
+    chosen = way.location
+    click.echo(f"host      {' '.join(way.host.names) or '(default)' if way.host else '-'}")
+    click.echo(f"location  {f'{chosen.kind} {chosen.pattern}' if chosen else '-'}")
+    click.echo(f"pool      {way.pool or '-'}")
+    click.echo(f"asks for  {way.path}" if way.pool else f"answers   {way.status}")
+    sys.exit(0 if way.pool else REFUSED)
+
+
 @main.group()
 def trial() -> None:
     """Play days live on loopback and judge them from recorded traffic."""
--- /dev/null
+++ b/onyxhead/fronts/nginx/__init__.py
@@ -0,0 +1,1 @@
+"""nginx blocks: carried over into records, and written from them."""
--- a/onyxhead/records/meaning.py
+++ b/onyxhead/records/meaning.py
@@ -8,7 +8,8 @@
 import difflib
 import operator
 import re
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+from functools import cache
 from typing import Any, NamedTuple
 
 from onyxhead.records.syntax import (
@@ -77,9 +78,12 @@
 
 
 class Row(NamedTuple):
+    """`rest` makes what further items must be. It is made when there is such an item, so that a definition may hold
+    lists of its own kind."""
+
     at: Place
     items: tuple[Value, ...]
-    rest: Value | None
+    rest: Callable[[], Value] | None
 
 
 class Choice(NamedTuple):
@@ -147,7 +151,7 @@
                 return Choice(term.at, made)
             case ListOf():
                 items = tuple(self.value(item, scope, closed) for item in term.items)
-                return Row(term.at, items, self.value(term.rest, scope, closed) if term.rest else None)
+                return Row(term.at, items, self._later(term.rest, scope, closed) if term.rest else None)
             case Reference():
                 return self.refer(term, scope)
             case Struct():
@@ -283,7 +287,9 @@
     def rows(self, one: Row, two: Row, name: str) -> Value:
         items = []
         for place in range(max(len(one.items), len(two.items))):
-            pair = [row.items[place] if place < len(row.items) else row.rest for row in (one, two)]
+            pair = [
+                row.items[place] if place < len(row.items) else row.rest() if row.rest else None for row in (one, two)
+            ]
             if pair[0] is None or pair[1] is None:
                 at = two.at if one.at.file == "(built in)" else one.at
                 fewer, more = sorted((len(one.items), len(two.items)))
@@ -291,9 +297,13 @@
             items.append(self.unify(pair[0], pair[1], name))
         rest = None
         if one.rest is not None and two.rest is not None:
-            rest = self.unify(one.rest, two.rest, name)
+            first, second = one.rest, two.rest
+            rest = cache(lambda: self.unify(first(), second(), name))
         return Row(two.at if one.at.file == "(built in)" else one.at, tuple(items), rest)
 
+    def _later(self, term: Term, scope: Scope, closed: bool) -> Callable[[], Value]:
+        return cache(lambda: self.value(term, scope, closed))
+
     def choose(self, one: Value, two: Value, name: str) -> Value:
         """Those choices that fit the other side; which of them holds is decided when all is known."""
         choice, other, first = (one, two, True) if isinstance(one, Choice) else (two, one, False)
@@ -304,9 +314,11 @@
             trial = Meaning()
             trial.pending = self.pending
             made = trial.unify(each, other, name) if first else trial.unify(other, each, name)
-            told.append(trial.faults)
             if not trial.faults:
                 fits.append((chosen, made))
+            elif not (_empty(each) and type(each) is type(other)):
+                # An empty default is not what somebody meant who wrote something.
+                told.append(trial.faults)
         if not fits:
             if len(told) == 1 or isinstance(other, Record):
                 # Of several records that might be meant, the one with the fewest faults is the likeliest.
@@ -356,6 +368,12 @@
         return None
 
 
+def _empty(value: Value) -> bool:
+    if isinstance(value, Record):
+        return not value.members and value.others is None
+    return isinstance(value, Row) and not value.items and value.rest is None
+
+
 def _settled(value: Value) -> bool:
     match value:
         case Scalar():
--- /dev/null
+++ b/onyxhead/routing/files.py
@@ -0,0 +1,198 @@
+"""Routing read from records and written as records; what is read is checked so that it can be acted on."""
+
+from __future__ import annotations
+
+import json
+import re
+from importlib import resources
+from pathlib import Path
+from typing import Any
+
+from onyxhead.records.files import check, gather
+from onyxhead.records.meaning import Found
+from onyxhead.records.syntax import Fault, Faulty
+from onyxhead.routing.model import Choice, Host, Limit, Location, Pool, Routing, Server, Split, Target, Tries
+
+TENTHS = 10_000
+
+
+def schema() -> str:
+    return resources.files("onyxhead.routing").joinpath("schema.rec").read_text(encoding="utf-8")
+
+
+def read(path: Path) -> Routing:
+    """Raises Faulty."""
+    found = check(gather(path), schema(), "#Routing")
+    faults: list[Fault] = []
+    pools = {name: _pool(name, own) for name, own in found["pools"].items()}
+    hosts = tuple(_host(own, pools, faults) for own in found["hosts"])
+    if faults:
+        raise Faulty(faults)
+    choices = {
+        name: Choice(
+            own["source"], tuple((each["if"], each["then"]) for each in own["cases"]), own["other"], own["hostnames"]
+        )
+        for name, own in found["choices"].items()
+    }
+    splits = {
+        name: Split(own["key"], tuple((each["share"], each["then"]) for each in own["shares"]), own["other"])
+        for name, own in found["splits"].items()
+    }
+    return Routing(pools, hosts, choices, splits)
+
+
+def _pool(name: str, own: Found) -> Pool:
+    servers = tuple(
+        Server(
+            each["address"],
+            each["weight"],
+            each["backup"],
+            each["down"],
+            each["max_connections"],
+            each["max_fails"],
+            each["fail_timeout"] / TENTHS,
+            each["slow_start"] / TENTHS,
+        )
+        for each in own["servers"]
+    )
+    return Pool(name, servers, own["method"], own["hash_key"], own["consistent"], own["keepalive"])
+
+
+def _host(own: Found, pools: dict[str, Pool], faults: list[Fault]) -> Host:
+    locations = tuple(_location(each, pools, faults) for each in own["locations"])
+    return Host(tuple(own["names"]), own["listen"], own["default"], locations)
+
+
+def _location(own: Found, pools: dict[str, Pool], faults: list[Fault]) -> Location:
+    target = None
+    if (given := own.get("target")) is not None:
+        target = Target(given["pool"], given["variable"], given.get("path"), given["scheme"])
+        if bool(target.pool) == bool(target.variable):
+            faults.append(Fault(own.place("target"), "a target is either a pool or a variable"))
+        elif target.pool and target.pool not in pools:
+            faults.append(Fault(given.place("pool"), f"there is no pool {target.pool!r}"))
+    if own["kind"].startswith("regex"):
+        try:
+            re.compile(own["pattern"])
+        except re.error as error:
+            faults.append(Fault(own.place("pattern"), f"no expression: {error}"))
+    tries = Tries(tuple(own["tries"]["when"]), own["tries"]["most"], own["tries"]["within"] / TENTHS)
+    limits = tuple(Limit(each["key"], each["pace"], each["burst"], each["at_once"]) for each in own["limits"])
+    within = tuple(_location(each, pools, faults) for each in own["within"])
+    return Location(own["kind"], own["pattern"], target, own["status"], tries, limits, within)
+
+
+# Writing
+
+
+class _Unit(str):
+    """A figure with its unit, written as it is."""
+
+
+def text(routing: Routing) -> str:
+    """Records that `read` makes the same routing of; what is usual is left out."""
+    top = {
+        "pools": {name: _plain_pool(pool) for name, pool in routing.pools.items()},
+        "hosts": [_plain_host(host) for host in routing.hosts],
+        "choices": {
+            name: {
+                "source": own.source,
+                "cases": [{"if": case, "then": value} for case, value in own.cases],
+                "other": own.other,
+                "hostnames": own.hostnames,
+            }
+            for name, own in routing.choices.items()
+        },
+        "splits": {
+            name: {
+                "key": own.key,
+                "shares": [{"share": share, "then": value} for share, value in own.shares],
+                "other": own.other,
+            }
+            for name, own in routing.splits.items()
+        },
+    }
+    return "".join(f"{name}: {_written(value, 0)}\n" for name, value in top.items() if value)
+
+
+def _written(value: Any, depth: int) -> str:  # noqa: ANN401
+    pad, end = "    " * (depth + 1), "    " * depth
+    if isinstance(value, _Unit):
+        return value
+    if isinstance(value, dict):
+        if not value:
+            return "{}"
+        flat = "{" + ", ".join(f"{_name(name)}: {_written(each, depth)}" for name, each in value.items()) + "}"
+        if len(flat) + len(pad) < 100 and "\n" not in flat:
+            return flat
+        rows = "".join(f"{pad}{_name(name)}: {_written(each, depth + 1)}\n" for name, each in value.items())
+        return "{\n" + rows + end + "}"
+    if isinstance(value, list):
+        flat = "[" + ", ".join(_written(each, depth) for each in value) + "]"
+        if len(flat) + len(pad) < 100 and "\n" not in flat:
+            return flat
+        return "[\n" + "".join(f"{pad}{_written(each, depth + 1)},\n" for each in value) + end + "]"
+    return json.dumps(value, ensure_ascii=False)
+
+
+def _name(name: str) -> str:
+    return name if re.fullmatch(r"[A-Za-z_][A-Za-z0-9_]*", name) else json.dumps(name, ensure_ascii=False)
+
+
+def _time(value: float) -> _Unit:
+    return _Unit(f"{round(value)}s" if value == round(value) else f"{value * 1000:g}ms")
+
+
+def _kept(usual: dict[str, Any], own: dict[str, Any]) -> dict[str, Any]:
+    return {name: value for name, value in own.items() if name not in usual or value != usual[name]}
+
+
+def _plain_pool(pool: Pool) -> dict[str, Any]:
+    servers = []
+    for each in pool.servers:
+        row = {"address": each.address} | {
+            "weight": each.weight,
+            "backup": each.backup,
+            "down": each.down,
+            "max_connections": each.max_connections,
+            "max_fails": each.max_fails,
+            "fail_timeout": _time(each.fail_timeout),
+            "slow_start": _time(each.slow_start),
+        }
+        usual = {"weight": 1, "backup": False, "down": False, "max_connections": 0, "max_fails": 1}
+        servers.append(_kept(usual | {"fail_timeout": "10s", "slow_start": "0s"}, row))
+    own = {
+        "servers": servers,
+        "method": pool.method,
+        "hash_key": pool.hash_key,
+        "consistent": pool.consistent,
+        "keepalive": pool.keepalive,
+    }
+    return _kept({"method": "weights", "hash_key": "", "consistent": False, "keepalive": 0}, own)
+
+
+def _plain_host(host: Host) -> dict[str, Any]:
+    own = {"names": list(host.names), "listen": host.listen, "default": host.default}
+    rows = [_plain_location(each) for each in host.locations]
+    return _kept({"names": [], "listen": "80", "default": False}, own) | {"locations": rows}
+
+
+def _plain_location(own: Location) -> dict[str, Any]:
+    row: dict[str, Any] = {"kind": own.kind, "pattern": own.pattern}
+    if own.target is not None:
+        target = {"pool": own.target.pool, "variable": own.target.variable, "path": own.target.path}
+        row["target"] = _kept({"pool": "", "variable": "", "path": None}, target)
+        if own.target.scheme != "http":
+            row["target"]["scheme"] = own.target.scheme
+    if own.status:
+        row["status"] = own.status
+    if own.tries != Tries():
+        row["tries"] = {"when": list(own.tries.when), "most": own.tries.most, "within": _time(own.tries.within)}
+    if own.limits:
+        row["limits"] = [
+            {"key": each.key, "pace": _Unit(f"{each.rate!r}/s"), "burst": each.burst, "at_once": each.at_once}
+            for each in own.limits
+        ]
+    if own.within:
+        row["within"] = [_plain_location(each) for each in own.within]
+    return row
--- /dev/null
+++ b/onyxhead/standins/router.py
@@ -0,0 +1,87 @@
+"""A plain proxy that follows imported routing: hosts, locations, weights, backups, further tries, limits."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import random
+import time
+from collections import defaultdict
+from pathlib import Path
+
+from onyxhead.http.client import ask_once
+from onyxhead.http.messages import Fault, Request, Response
+from onyxhead.http.server import Server
+from onyxhead.routing import model
+from onyxhead.routing.choose import Router, Way
+from onyxhead.routing.files import read
+from onyxhead.standins.run import StandIn
+from onyxhead.tables.view import address_parts
+
+
+class Main(StandIn):
+    async def run(self) -> None:
+        self.router = Router(read(Path(self.given["routing"])))
+        self.tokens: dict[tuple[str, str], tuple[float, float]] = {}
+        self.open: dict[tuple[str, str], int] = defaultdict(int)
+        await Server(self.answer).start("127.0.0.1", self.given["port"])
+        await asyncio.Event().wait()
+
+    async def answer(self, request: Request, _writer: asyncio.StreamWriter) -> Response:
+        known = {f"http_{name.replace('-', '_')}": value for name, value in request.headers.items()}
+        known["binary_remote_addr"] = known["remote_addr"] = request.headers.get("x-client", "")
+        way = self.router.way(request.headers.get("host", ""), request.target, known)
+        if not way.pool or way.location is None:
+            return Response(way.status)
+        held = []
+        try:
+            for limit in way.location.limits:
+                key = (repr(limit), self.router.text(limit.key, known))
+                if limit.at_once:
+                    self.open[key] += 1
+                    held.append(key)
+                if not self.admits(limit, key):
+                    return Response(503, {"x-blocked": "limit"})
+            return await self.onward(way, request, known)
+        finally:
+            for key in held:
+                self.open[key] -= 1
+
+    def admits(self, limit: model.Limit, key: tuple[str, str]) -> bool:
+        if limit.at_once:
+            return self.open[key] <= limit.at_once
+        now = time.time()
+        tokens, at = self.tokens.get(key, (float(limit.burst + 1), now))
+        tokens = min(limit.burst + 1.0, tokens + (now - at) * limit.rate)
+        self.tokens[key] = (tokens - 1 if tokens >= 1 else tokens, now)
+        return tokens >= 1
+
+    async def onward(self, way: Way, request: Request, known: dict[str, str]) -> Response:
+        assert way.location is not None
+        tries, met, until = way.location.tries, list[str](), time.time() + (way.location.tries.within or 60.0)
+        pool, response = self.router.routing.pools[way.pool], Response(502)
+        most = tries.most or len(pool.servers)
+        while len(met) < (most if tries.when else 1) and time.time() < until:
+            server = self.pick(pool, met, known)
+            if server is None:
+                break
+            met.append(server.address)
+            try:
+                asked = Request(request.method, way.path, {}, request.body)
+                response = await ask_once(address_parts(server.address), asked, 2.0)
+                again = f"http_{response.status}" in tries.when
+            except (OSError, Fault, TimeoutError):
+                response, again = Response(502), "error" in tries.when
+            if not again:
+                break
+        return response._replace(headers={**response.headers, "x-met": " ".join(met)})
+
+    def pick(self, pool: model.Pool, met: list[str], known: dict[str, str]) -> model.Server | None:
+        up = [each for each in pool.servers if not each.down and each.address not in met]
+        for backup in (False, True):
+            if some := [each for each in up if each.backup is backup]:
+                if pool.method in ("hash", "address-hash"):
+                    key = self.router.text(pool.hash_key or "$remote_addr", known)
+                    return min(some, key=lambda each: hashlib.blake2b(f"{key}\0{each.address}".encode()).digest())
+                return random.choices(some, [each.weight for each in some])[0]
+        return None
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,400 @@
+"""Locations as published, nginx's blocks carried over and back, and traffic that goes where the blocks say."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import crossplane
+import pytest
+from click.testing import CliRunner
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from onyxhead.cli.main import main
+from onyxhead.fronts.nginx.carry import Carrying, Line, Odd, seconds, unescaped
+from onyxhead.fronts.nginx.write import Unsaid, blocks, quoted
+from onyxhead.http.client import ask_once
+from onyxhead.http.messages import Request, Response
+from onyxhead.http.server import Server as Listening
+from onyxhead.records.syntax import Faulty
+from onyxhead.routing.choose import Compiled, Hosts, Plain, Router, choose, literal_head, murmur2, normal, split
+from onyxhead.routing.files import read, text
+from onyxhead.routing.model import Choice, Host, Limit, Location, Pool, Routing, Server, Split, Target, Tries
+from onyxhead.standins.router import Main as Standin
+from onyxhead.trial.run import free_ports
+
+
+def at(kind: Any, pattern: str, *within: Location, pool: str = "") -> Location:
+    return Location(kind, pattern, Target(pool or pattern), within=tuple(within))
+
+
+SAMPLE = [
+    at("prefix", "/"), at("exact", "/"), at("prefix", "/docs/"), at("prefix-first", "/img/"),
+    at("regex-caseless", r"\.(gif|png)$"), at("regex", "^/docs/v1"), at("regex", "^/doc"),
+    at("prefix", "/app", at("prefix", "/app/in"), at("regex", r"\.js$"), at("exact", "/app/home")),
+    at("prefix-first", "/deep", at("prefix", "/deep/er", at("exact", "/deep/er/x")), at("regex", "z$")),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("path", "pattern"), [
+    ("/", "/"), ("/x", "/"), ("/docs/a", "^/doc"), ("/docs/v1/a", "^/docs/v1"), ("/img/a.gif", "/img/"), ("/a.GIF", r"\.(gif|png)$"),
+    ("/app/in/a", "/app/in"), ("/app/in/a.js", r"\.js$"), ("/app/home", "/app/home"), ("/app/in/a.png", r"\.(gif|png)$"), ("/application", "/app"),
+    ("/deep/er/x", "/deep/er/x"), ("/deep/a.gif", "/deep"), ("/deep/er/a.gif", "/deep/er"), ("/deep/er/z", "z$"), ("/DOCS/", "/"),
+])  # fmt: skip
+def test_overlapping_nested_and_regex_locations_are_decided_as_published(path: str, pattern: str) -> None:
+    for way in (Plain(SAMPLE), Compiled(SAMPLE)):
+        found = way.find(path)
+        assert found is not None and found.pattern == pattern
+    assert Compiled(SAMPLE).find("/") is SAMPLE[1] and Plain(SAMPLE).find("") is None
+
+
+words = st.text("ab/.", max_size=5)
+kinds = st.sampled_from(["exact", "prefix", "prefix", "prefix-first", "regex", "regex-caseless", "named"])
+regexes = st.sampled_from(["^/a", "^/A", "b$", "^/a.b", r"\.b", "^/(a|b)", "(?i)^/ab", "^/ab|b", "a{2}", "^", "^/a[b]?", "^/ab+"])
+
+
+def locations(depth: int) -> st.SearchStrategy[list[Location]]:
+    inside = locations(depth - 1) if depth else st.just([])
+    return st.lists(
+        st.builds(lambda kind, word, regex, within: Location(kind, regex if kind.startswith("regex") else "/" + word, Target("p"), within=tuple(within)),
+                  kinds, words, regexes, inside), max_size=6,
+    )  # fmt: skip
+
+
+@given(locations(2), st.lists(st.text("abAB/.", max_size=7), min_size=1, max_size=8))
+@settings(max_examples=400, deadline=None)
+def test_compiled_finds_what_the_plain_model_finds(level: list[Location], paths: list[str]) -> None:
+    unique: list[Location] = []
+    for each in level:
+        if all((each.kind, each.pattern) != (other.kind, other.pattern) for other in unique):
+            unique.append(each)
+    compiled, plain = Compiled(unique), Plain(unique)
+    for path in paths:
+        one, two = compiled.find("/" + path), plain.find("/" + path)
+        same = one is not None and two is not None and (one.kind == two.kind or {one.kind, two.kind} == {"prefix", "prefix-first"})
+        assert one is two or (same and one.pattern == two.pattern)  # type: ignore[union-attr]
+
+
+@pytest.mark.parametrize(("pattern", "head"), [
+    ("^/api/v1", "/api/v1"), ("/api", ""), ("^/a|b", ""), ("(?i)^/a", ""), ("^/a+", "/"), (r"^/a\.b", "/a.b"), ("^", ""), ("^/é", ""), ("(", ""),
+])  # fmt: skip
+def test_only_text_that_must_begin_a_path_is_looked_up(pattern: str, head: str) -> None:
+    assert literal_head(pattern) == head
+
+
+@pytest.mark.parametrize(("path", "plain"), [
+    ("/a/../b", "/b"), ("/a//b", "/a/b"), ("/%61/b?x=/../", "/a/b"), ("/../..", "/"), ("/a/./", "/a/"), ("/a/b/..", "/a/"), ("/", "/"), ("/a#b", "/a"),
+])  # fmt: skip
+def test_paths_are_made_plain_before_locations_see_them(path: str, plain: str) -> None:
+    assert normal(path) == plain
+
+
+@pytest.mark.parametrize(("name", "found"), [
+    ("x.org", "x.org"), ("X.ORG:8080", "x.org"), ("a.x.org", "*.x.org"), ("a.b.x.org", "*.b.x.org"), ("www.any", "www.*"), ("y.net", ".y.net"),
+    ("q.y.net", ".y.net"), ("n12.zz", r"~^n\d+"), ("else", "_"), ("", "_"), ("x.org.", "x.org"),
+])  # fmt: skip
+def test_hosts_are_chosen_exact_then_wildcards_then_expressions_then_the_default(name: str, found: str) -> None:
+    hosts = [Host((each,), default=each == "_") for each in ("a.org", "*.x.org", r"~^n\d+", "www.*", "x.org", "*.b.x.org", ".y.net", "_")]
+    chosen = Hosts(hosts).find(name)
+    assert chosen is not None and chosen.names == (found,)
+
+
+def test_variables_choose_by_text_wildcard_expression_and_share() -> None:
+    own = Choice("$x", (("~^b", "B"), ("b1", "exact"), ("*.org", "tail"), ("~*C$", "C")), "other", True)
+    assert [choose(own, value) for value in ("b1", "b2", "a.org", "xc", "z", "B2")] == ["exact", "B", "tail", "C", "other", "other"]
+    halves = Split("$x", ((2500, "a"), (2500, "b")), "c")
+    counts = Counter(split(halves, f"10.0.{n // 256}.{n % 256}") for n in range(8_000))
+    assert 1_700 < counts["a"] < 2_300 and 1_700 < counts["b"] < 2_300 and 3_600 < counts["c"] < 4_400
+    assert murmur2(b"") == 0 and len({murmur2(bytes([n])) for n in range(256)}) == 256
+
+
+def test_variables_that_go_round_end() -> None:
+    routing = Routing(choices={"a": Choice("$b", (), "$a"), "b": Choice("$a", (), "x")})
+    assert Router(routing).value("a", {}) == "$a" and Router(Routing(choices={"a": Choice("$a", (("q", "p"),), "")})).value("a", {}) == ""
+
+
+# nginx
+
+
+def carried(folder: Path, **files: str) -> tuple[Routing, list[Line]]:
+    for name, body in files.items():
+        (folder / f"{name}.conf").write_text(body)
+    return Carrying(crossplane.parse(str(folder / f"{next(iter(files))}.conf"), check_ctx=False, check_args=False)["config"]).run()
+
+
+def said(lines: list[Line], directive: str) -> list[tuple[str, str]]:
+    return [(line.verdict, line.why) for line in lines if line.directive.startswith(directive)]
+
+
+def test_weights_and_backups_in_one_upstream_are_carried_and_what_is_lost_is_told(tmp_path: Path) -> None:
+    routing, lines = carried(tmp_path, a="""
+        upstream u {
+            server 10.0.0.1 weight=5 max_fails=3 fail_timeout=1m30s;
+            server 10.0.0.2:81 backup max_conns=20;
+            server 10.0.0.3:80 down slow_start=500ms;
+            server 10.0.0.4:80 weight=0;
+            server unix:/x.sock;
+            server 10.0.0.5:80 route=a;
+            zone z 64k;
+            fair;
+        }
+        upstream h { hash $uri consistent; server a:1; server b:2 backup; }
+    """)
+    assert routing.pools["u"].servers == (
+        Server("10.0.0.1:80", 5, max_fails=3, fail_timeout=90.0), Server("10.0.0.2:81", backup=True, max_connections=20),
+        Server("10.0.0.3:80", down=True, slow_start=0.5), Server("10.0.0.5:80"),
+    )  # fmt: skip
+    assert said(lines, "server 10.0.0.4") == [("not", "'0' is no number from 1 on")]
+    assert said(lines, "server unix")[0][0] == "not" and said(lines, "server 10.0.0.5") == [("changed", "without route=a")]
+    assert said(lines, "fair") == [("not", "not known here")] and said(lines, "zone")[0][0] == "changed"
+    assert routing.pools["h"].servers == (Server("a:1"),) and "backup has no meaning" in said(lines, "upstream h")[1][1]
+    assert [line.line for line in lines if line.directive == "fair"] == [10]
+
+
+def test_one_upstream_of_two_servers_keeps_the_tries_of_each(tmp_path: Path) -> None:
+    routing, _ = carried(tmp_path, a="""
+        server { server_name one; proxy_next_upstream error http_503; proxy_next_upstream_tries 3;
+            location / { proxy_pass http://u; } location /b { proxy_pass http://u; proxy_next_upstream off; } }
+        server { server_name two; proxy_next_upstream_timeout 2s; location / { proxy_pass http://u/; } }
+        upstream u { server a:1; }
+    """)
+    one, two = routing.hosts
+    assert [each.tries for each in one.locations] == [Tries(("error", "http_503"), 3), Tries((), 3)]
+    assert two.locations[0].tries == Tries(within=2.0) and two.locations[0].target == Target("u", path="/")
+
+
+def test_if_and_variables_are_told_and_not_guessed(tmp_path: Path) -> None:
+    routing, lines = carried(tmp_path, a="""
+        server { listen 80 http2; if ($host = x) { return 301 /; } rewrite ^/a /b; set $x 1;
+            location /a { if ($arg_x) { proxy_pass http://evil; } proxy_pass http://$pool; }
+            location /b { proxy_pass http://pre$pool; } location /c { proxy_pass http://u/$1; } location ~ ^/d { proxy_pass http://u/x; }
+            location /e { proxy_pass $whole; } location /f { proxy_pass https://1.2.3.4; } location ~ (( { return 404; }
+            location /g { return 301 http://x/; } location /h { try_files $uri @q; } location @q { proxy_pass http://u; } location = /i { location /i/j { return 200; } } }
+        upstream u { server a:1; }
+    """)
+    made = {each.pattern: each for each in routing.hosts[0].locations}
+    assert made["/a"].target == Target(variable="pool") and "evil" not in routing.pools
+    assert all(made[path].target is None for path in ("/b", "/c", "^/d", "/e", "/g", "/h")) and "((" not in made
+    assert routing.pools["1.2.3.4"].servers == (Server("1.2.3.4:443"),) and made["/i"].within == ()
+    for directive in ("if $host", "rewrite", "set", "if $arg_x", "proxy_pass http://pre$pool", "proxy_pass http://u/$1", "proxy_pass http://u/x",
+                      "proxy_pass $whole", "location ~ ((", "try_files", "location /i/j"):  # fmt: skip
+        assert said(lines, directive) and all(verdict == "not" for verdict, _ in said(lines, directive)), directive
+    assert said(lines, "listen") == [("changed", "without http2")] and said(lines, "location @q")[0][0] == "changed"
+
+
+def test_includes_missing_repeated_and_in_circles(tmp_path: Path) -> None:
+    routing, lines = carried(
+        tmp_path, a="http { include ups.conf; include ups.conf; include none.conf; server { include loc.conf; include deep.conf; } }",
+        ups="upstream u { server a:1; }", loc="location /x { proxy_pass http://u; }", deep="location /y { include loc.conf; }\ninclude circle.conf;",
+        circle="include deep.conf;",
+    )  # fmt: skip
+    host = routing.hosts[0]
+    assert [each.pattern for each in host.locations] == ["/x", "/y"] and host.locations[1].within[0].pattern == "/x"
+    assert ("not", "there is an upstream 'u' already") in said(lines, "upstream u")
+    assert any("go round: a.conf -> deep.conf -> circle.conf -> deep.conf" in line.why for line in lines)
+    assert any(line.verdict == "not" and "none.conf" in str(line) for line in lines)
+
+
+def test_limits_maps_and_splits_are_carried(tmp_path: Path) -> None:
+    routing, lines = carried(tmp_path, a="""
+        limit_req_zone $remote_addr zone=r:10m rate=120r/m; limit_conn_zone $host zone=c:1m;
+        map $http_host $p { hostnames; default u; *.x v; ~(bad w; ~^n v; a b c; }
+        split_clients $remote_addr $s { 60% u; 0.5% v; 50% v; * u; }
+        server { limit_conn c 5; location / { proxy_pass http://$p; limit_req zone=r burst=4; limit_req zone=none; } location /k { proxy_pass http://$s; } }
+        upstream u { server a:1; } upstream v { server b:1; }
+    """)
+    first, second = routing.hosts[0].locations
+    assert first.limits == (Limit("$remote_addr", 2.0, 4),) and second.limits == (Limit("$host", at_once=5),)
+    assert routing.choices["p"] == Choice("$http_host", (("*.x", "v"), ("~^n", "v")), "u", True)
+    assert routing.splits["s"] == Split("$remote_addr", ((6000, "u"), (50, "v")), "u")
+    assert said(lines, "limit_req zone=none") == [("not", "there is no zone 'none' before it")] and said(lines, "50%")[0][0] == "not"
+    assert said(lines, "~(bad")[0][0] == "not" and said(lines, "a b c") == [("not", "not known here")]
+
+
+@pytest.mark.parametrize(("given_", "value"), [("5", 5.0), ("1m30s", 90.0), ("500ms", 0.5), ("1h", 3600.0)])
+def test_times(given_: str, value: float) -> None:
+    assert seconds(given_) == value
+    with pytest.raises(Odd):
+        seconds(given_ + "x")
+
+
+name = st.from_regex(r"[a-z]{1,6}", fullmatch=True)
+servers = st.builds(
+    Server, st.sampled_from(["a:1", "10.0.0.1:80", "b.c:99"]), st.integers(1, 9), st.booleans(), st.booleans(), st.integers(0, 5), st.integers(0, 4),
+    st.sampled_from([10.0, 2.0, 0.5]), st.sampled_from([0.0, 30.0]),
+)  # fmt: skip
+patterns = st.sampled_from(["/", "/a", "/a b", r"\.php$", r"^/d{2}/\d+", r"^/x\"y", "/é;", r"^/a\\b", r"\n", "/#x", r"a\\"])
+
+
+def tree(depth: int) -> st.SearchStrategy[tuple[Location, ...]]:
+    inside = tree(depth - 1) if depth else st.just(())
+
+    def made(kind: Any, pattern: str, target: Target | None, status: int, most: int, limits: tuple[Limit, ...], within: tuple[Location, ...]) -> Location:
+        if kind.startswith("regex") and target is not None:
+            target = Target(target.pool, target.variable)
+        if kind == "exact":
+            within = ()
+        if not kind.startswith("regex"):
+            pattern = "/" + pattern.lstrip("/^~=@*")
+        return Location(kind, pattern, target, status, Tries(most=most), limits, within)
+
+    targets = st.sampled_from([None, Target("p"), Target("p", path="/z"), Target(variable="v")])
+    limits = st.sampled_from([(), (Limit("$host", 2.0, 3),), (Limit("$host", at_once=3),)])
+    return st.lists(
+        st.builds(made, st.sampled_from(["exact", "prefix", "prefix-first", "regex", "regex-caseless"]), patterns, targets,
+                  st.sampled_from([0, 404]), st.sampled_from([0, 0, 2]), limits, inside), max_size=3,
+    ).map(tuple)  # fmt: skip
+
+
+routings = st.builds(
+    lambda given_, method, hosts, cases: Routing(
+        {"p": Pool("p", tuple(s for s in given_ if not (s.backup and method in ("hash", "address-hash"))), method, "$uri" if method == "hash" else "", method == "hash", 4)},
+        tuple(hosts), {"v": Choice("$host", tuple(cases), "p")}, {"w": Split("$host", ((3300, "p"),), "q")},
+    ),
+    st.lists(servers, min_size=1, max_size=3), st.sampled_from(["weights", "least-connections", "address-hash", "hash"]),
+    st.lists(st.builds(Host, st.lists(name, max_size=2, unique=True).map(tuple), st.sampled_from(["80", "127.0.0.1:81"]), st.booleans(), tree(1)), max_size=2),
+    st.lists(st.tuples(st.sampled_from(["a", "~^b c", "*.d"]), name), max_size=2, unique_by=lambda each: each[0]),
+)  # fmt: skip
+
+
+def inherited(routing: Routing) -> Routing:
+    """Tries and limits as nginx hands them down to what stands inside."""
+
+    def down(own: Location, around: Location | None) -> Location:
+        limits = own.limits or (around.limits if around else ())
+        most = own.tries.most or (around.tries.most if around else 0)
+        made = Location(own.kind, own.pattern, own.target, own.status, Tries(most=most), limits)
+        return Location(made.kind, made.pattern, made.target, made.status, made.tries, made.limits, tuple(down(each, made) for each in own.within))
+
+    hosts = tuple(Host(h.names, h.listen, h.default, tuple(down(each, None) for each in h.locations)) for h in routing.hosts)
+    return Routing(routing.pools, hosts, routing.choices, routing.splits)
+
+
+@given(routings)
+@settings(max_examples=150, deadline=None)
+def test_what_is_exported_is_imported_as_the_same(tmp_path_factory: pytest.TempPathFactory, routing: Routing) -> None:
+    folder = tmp_path_factory.mktemp("ng")
+    made, lines = carried(folder, a=blocks(routing))
+    assert made == inherited(routing), "\n".join(map(str, lines))
+
+
+@given(routings)
+@settings(max_examples=80, deadline=None)
+def test_what_is_written_as_records_is_read_as_the_same(tmp_path_factory: pytest.TempPathFactory, routing: Routing) -> None:
+    path = tmp_path_factory.mktemp("rec") / "a.rec"
+    path.write_text(text(routing), encoding="utf-8")
+    assert read(path) == routing
+
+
+@given(st.text(max_size=8).filter(lambda each: "\n" not in each and "\r" not in each and "\0" not in each))
+@settings(max_examples=150)
+def test_words_are_quoted_so_that_they_come_back(word: str) -> None:
+    made = quoted(word)
+    assert unescaped(made[1:-1] if made.startswith('"') else made) == word
+    with pytest.raises(Unsaid):
+        quoted("a\nb")
+
+
+@pytest.mark.parametrize(("body", "told"), [
+    ('hosts: [{locations: [{pattern: "/", target: {pool: "u"}}]}]', "there is no pool 'u'"),
+    ('hosts: [{locations: [{kind: "regex", pattern: "((", status: 404}]}]', "no expression"),
+    ('hosts: [{locations: [{pattern: "/", target: {scheme: "https"}}]}]', "either a pool or a variable"),
+    ('pools: {u: {servers: [{address: "nope"}]}}', "address"), ('hosts: [{locations: [{pattern: "/", within: [{pattrn: "/a"}]}]}]', "pattern"),
+])  # fmt: skip
+def test_faults_in_routing_are_told_with_their_place(tmp_path: Path, body: str, told: str) -> None:
+    path = tmp_path / "a.rec"
+    path.write_text(body)
+    with pytest.raises(Faulty) as caught:
+        read(path)
+    assert any(told in str(fault) and "a.rec:1:" in str(fault) for fault in caught.value.faults), caught.value.faults
+
+
+def test_the_commands(tmp_path: Path) -> None:
+    (tmp_path / "a.conf").write_text("upstream u { server a:1; }\nserver { server_name x; location / { proxy_pass http://u/z/; fancy on; } }")
+    out = tmp_path / "a.rec"
+    run = CliRunner().invoke
+    assert run(main, ["import", "nginx", str(tmp_path / "a.conf"), "--out", str(out), "--report", str(tmp_path / "r")]).exit_code == 0
+    assert "a.conf:2: fancy on: NOT carried" in (tmp_path / "r").read_text()
+    assert run(main, ["import", "nginx", str(tmp_path / "a.conf"), "--out", str(out), "--strict"]).exit_code == 1
+    told = run(main, ["route", str(out), "x", "/q?a=1"])
+    assert told.exit_code == 0 and "pool      u" in told.output and "asks for  /z/q?a=1" in told.output
+    assert "proxy_pass http://u/z/;" in run(main, ["export", "nginx", str(out)]).output
+    before = out.read_text()
+    (tmp_path / "a.conf").write_text("upstream u { server a:1; ")
+    assert run(main, ["import", "nginx", str(tmp_path / "a.conf"), "--out", str(out)]).exit_code == 2 and out.read_text() == before
+    assert run(main, ["import", "nginx", str(tmp_path / "none.conf")]).exit_code == 2
+
+
+# Traffic
+
+
+def test_traffic_goes_where_the_blocks_say(tmp_path: Path) -> None:
+    async def work() -> None:
+        ports = free_ports(5)
+        came: list[tuple[int, str]] = []
+
+        def backend(n: int) -> Any:
+            async def answered(request: Request, _writer: asyncio.StreamWriter) -> Response:
+                came.append((n, request.target))
+                if request.target.startswith("/slow"):
+                    await asyncio.sleep(0.3)
+                return Response(503 if n == 2 else 200, {"x-backend": str(n)})
+
+            return answered
+
+        for n in range(3):
+            await Listening(backend(n)).start("127.0.0.1", ports[n])
+        (tmp_path / "a.conf").write_text(f"""
+            upstream one {{ server 127.0.0.1:{ports[0]} weight=3; server 127.0.0.1:{ports[1]}; }}
+            upstream safe {{ server 127.0.0.1:{ports[4]}; server 127.0.0.1:{ports[1]} backup; }}
+            upstream bad {{ server 127.0.0.1:{ports[2]} weight=1000; server 127.0.0.1:{ports[0]}; }}
+            map $http_team $by {{ default one; red safe; }}
+            limit_req_zone $remote_addr zone=r:1m rate=1r/m; limit_conn_zone $remote_addr zone=c:1m;
+            server {{ server_name x;
+                location / {{ proxy_pass http://one; }}
+                location /static/ {{ proxy_pass http://safe/files/; location ~ [.]gif$ {{ return 404; }} }}
+                location ^~ /static/raw/ {{ proxy_pass http://safe; }}
+                location /bad {{ proxy_pass http://bad; proxy_next_upstream http_503; }}
+                location /once {{ proxy_pass http://bad; proxy_next_upstream off; }}
+                location /by {{ proxy_pass http://$by; }}
+                location /few {{ proxy_pass http://one; limit_req zone=r burst=2 nodelay; }}
+                location /slow {{ proxy_pass http://one; limit_conn c 1; }}
+            }}""")
+        done = CliRunner().invoke(main, ["import", "nginx", str(tmp_path / "a.conf"), "--out", str(tmp_path / "a.rec"), "--strict"])
+        assert done.exit_code == 0, done.output
+        standin = Standin({"port": ports[3], "routing": str(tmp_path / "a.rec"), "record": str(tmp_path / "r.jsonl")})
+        task = asyncio.create_task(standin.run())
+        await asyncio.sleep(0.1)
+
+        async def ask(path: str, **headers: str) -> Response:
+            return await ask_once(("127.0.0.1", ports[3]), Request("GET", path, headers), 5.0)
+
+        weights = Counter([(await ask("/w")).headers["x-backend"] for _ in range(120)])
+        assert 70 < weights["0"] < 110
+        # A dead server, then the backup; with a path of its own, and nested and first-prefix locations that overlap.
+        assert (await ask("/static/a.css?v=1")).headers["x-backend"] == "1" and came[-1] == (1, "/files/a.css?v=1")
+        assert (await ask("/static/a.gif")).status == 404
+        assert (await ask("/static/raw/a.gif")).status == 200 and came[-1] == (1, "/static/raw/a.gif")
+        assert (await ask("/bad")).status == 200 and (await ask("/once")).status == 503
+        assert (await ask("/by", team="red")).headers["x-backend"] == "1"
+        few = [(await ask("/few", **{"x-client": "c"})).status for _ in range(5)]
+        assert few == [200, 200, 200, 503, 503] and (await ask("/few", **{"x-client": "d"})).status == 200
+        both = await asyncio.gather(ask("/slow", **{"x-client": "c"}), ask("/slow", **{"x-client": "c"}))
+        assert sorted(each.status for each in both) == [200, 503]
+        task.cancel()
+
+    asyncio.run(work())
+
+
+def test_the_plain_model_and_the_compiled_one_agree_at_size() -> None:
+    chance = Random(4)
+    level = [at("prefix", f"/{n % 97}/{n}") for n in range(600)] + [at("regex", f"^/r{n}/") for n in range(300)] + [at("regex", r"\.x$")]
+    one, two = Compiled(level), Plain(level)
+    for _ in range(300):
+        n = chance.randrange(700)
+        path = chance.choice([f"/{n % 97}/{n}/a", f"/r{n}/b", f"/r{n}/b.x", "/none", f"/{n}"])
+        assert one.find(path) is two.find(path)
