Commands over a fleet that act once: drain, restore, cordon, wait, compare

Need: an operator acts on dozens of members at night, some of which are dead, slow, older or restarting. Result: a dozen stand-in members each end as applied, refused or not known within the stated time; a command sent while the controller restarts is answered by its next life under the same id.

--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -51,10 +51,10 @@
     count = int(args[0]) if args else 20_000
     routing = Routing({"p": Pool("p", (Server("a:1"),))}, (Host(("x",), locations=tuple(level(count))),))
     with tempfile.TemporaryDirectory() as folder:
-        path = Path(folder) / "a.rec"
-        path.write_text(text(routing), encoding="utf-8")
+        file = Path(folder) / "a.rec"
+        file.write_text(text(routing), encoding="utf-8")
         began = time.perf_counter()
-        read(path)
+        read(file)
         took = time.perf_counter() - began
-        found["records"] = {"lines": len(path.read_text().splitlines()), "read_s": round(took, 2)}
+        found["records"] = {"lines": len(file.read_text().splitlines()), "read_s": round(took, 2)}
     return found
--- a/onyxhead/agent/daemon.py
+++ b/onyxhead/agent/daemon.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import errno
+import json
 import os
 import random
 import secrets
@@ -231,12 +232,20 @@
             "turn": self.keeper.turn,
             "tag": self.keeper.view.tag,
             "swaps": self.swaps,
+            "files": self._files_tag(),
             "lines": {
                 route.group: len(envoy.lines_of(self.keeper.view, route.group)) for route in self.settings.routes
             },
             "withdrawn": sorted(self.keeper.view.kind("withdrawn")),
         }
 
+    def _files_tag(self) -> str | None:
+        """The tag of the view that the swapped files were made of, by the files themselves; None if there are none."""
+        try:
+            return f'"{json.loads((self.settings.files / "eds.json").read_bytes())["version_info"]}"'
+        except (OSError, ValueError, KeyError, TypeError):
+            return None
+
     # Being joined
 
     def _closed(self, writer: asyncio.StreamWriter) -> None:
--- a/onyxhead/cli/main.py
+++ b/onyxhead/cli/main.py
@@ -444,6 +444,164 @@
         show_rows("certificates", rows)
 
 
+FLEET = click.option("--fleet", "fleet_file", type=EXISTING, help="Records: controllers and agents by name.")
+AT = click.option("--at", "addresses", multiple=True, metavar="ADDRESS", help="A controller; any number of them.")
+WITHIN = click.option("--within", default=5.0, show_default=True, help="Seconds; what is not known then is told.")
+
+
+def members_of(fleet_file: Path | None, addresses: tuple[str, ...]) -> tuple[dict[str, Any], dict[str, Any]]:
+    controllers: dict[str, Any] = {}
+    agents: dict[str, Any] = {}
+    try:
+        if fleet_file is not None:
+            controllers, agents = load.operators(fleet_file)
+        controllers |= {address: address_parts(address) for address in addresses}
+    except Faulty as error:
+        stop(FAULTY, *error.faults)
+    except Malformed as error:
+        stop(FAULTY, error)
+    if not controllers:
+        stop(FAULTY, "nobody to ask: --at or --fleet is wanted")
+    return controllers, agents
+
+
+def identity_tls(identity: Path | None) -> Any:  # noqa: ANN401
+    if identity is None:
+        return None
+    from onyxhead.keys.rotate import Keys, Unusable
+
+    folder, name = identity.parent, identity.name
+    files = load.Tls(folder / f"{name}.crt", folder / f"{name}.key", folder / "authorities.pem", None, 1.0)
+    try:
+        return Keys(files).client
+    except Unusable as error:
+        stop(FAULTY, error)
+
+
+def _verb(verb: str, text: str) -> None:
+    @main.command(verb, help=text)
+    @click.argument("names", nargs=-1, required=True)
+    @AT
+    @FLEET
+    @WITHIN
+    @click.option("--id", "number", help="The command's id; with the same one it acts once, however often it is sent.")
+    @click.option("--dry-run", is_flag=True, help="Only say what it would do to the rules.")
+    @AS_JSON
+    @IDENTITY
+    def act(
+        names: tuple[str, ...], addresses: tuple[str, ...], fleet_file: Path | None, within: float, number: str | None,
+        dry_run: bool, as_json: bool, identity: Path | None,
+    ) -> None:  # fmt: skip
+        import getpass
+        import secrets
+
+        from onyxhead.operate.fleet import command
+
+        controllers, _ = members_of(fleet_file, addresses)
+        number = number or secrets.token_hex(8)
+        given = {"id": number, "verb": verb, "names": list(names), "by": getpass.getuser(), "dry_run": dry_run}
+        outcomes = asyncio.run(command(controllers, given, within, identity_tls(identity)))
+        if as_json:
+            click.echo(json.dumps({"id": number, "outcomes": [each._asdict() for each in outcomes]}, indent=2))
+        else:
+            rows = [
+                {
+                    "member": each.member, "status": "not known" if each.status == "unknown" else each.status,
+                    "changed": each.told.get("changed", []), "channel_s": each.told.get("channel_s", "-"),
+                    "why": each.why,
+                }
+                for each in outcomes
+            ]  # fmt: skip
+            show_rows(f"{verb} {' '.join(names)}{' (only tried)' if dry_run else ''}", rows)
+            if any(each.status == "unknown" for each in outcomes):
+                click.echo(f"not known everywhere; send it again with --id {number}", err=True)
+        statuses = {each.status for each in outcomes}
+        sys.exit(UNKNOWN if "unknown" in statuses else REFUSED if "refused" in statuses else 0)
+
+
+_verb("drain", "Take backends NAMES out of service. A name may hold * and ?; zone=Z and kind=K may be joined by &.")
+_verb("restore", "Take drains and cordons of backends NAMES back.")
+_verb("cordon", "Keep backends NAMES out that do not serve now, or start anew; those that serve go on.")
+_verb("uncordon", "Let cordoned backends NAMES in again.")
+
+
+@main.command()
+@click.argument("names", nargs=-1, required=True)
+@AT
+@FLEET
+@click.option("--within", default=30.0, show_default=True, help="Seconds to wait.")
+@IDENTITY
+def wait(
+    names: tuple[str, ...], addresses: tuple[str, ...], fleet_file: Path | None, within: float, identity: Path | None
+) -> None:
+    """Wait until no proxy uses backends NAMES any more, by the proxies' own answers."""
+    import time
+    from urllib.parse import quote
+
+    from onyxhead.operate.fleet import states
+
+    controllers, _ = members_of(fleet_file, addresses)
+    until, target = time.monotonic() + within, "/v1/operate/" + "/".join(quote(name, safe="") for name in names)
+    while True:
+        told = asyncio.run(states(controllers, target, min(TIMEOUT, within), identity_tls(identity)))
+        silent = sorted(name for name, state in told.items() if state is None)
+        left = {
+            name: state for name, state in told.items()
+            if state is not None and (state["behind"] or not all(own["out"] for own in state["backends"].values()))
+        }  # fmt: skip
+        if not silent and not left:
+            click.echo("out everywhere")
+            return
+        if time.monotonic() > until:
+            break
+        time.sleep(0.1)
+    for name, state in sorted(left.items()):
+        used = [backend for backend, own in state["backends"].items() if not own["out"]]
+        click.echo(f"{name}: still in: {' '.join(used) or '-'}; proxies that have not answered: {len(state['behind'])}")
+    for name in silent:
+        click.echo(f"{name}: not known: no answer")
+    sys.exit(UNKNOWN if silent else REFUSED)
+
+
+@main.command()
+@AT
+@FLEET
+@click.option("--settle", default=1.0, show_default=True, help="Seconds between two looks; what passes is not told.")
+@AS_JSON
+@IDENTITY
+def compare(
+    addresses: tuple[str, ...], fleet_file: Path | None, settle: float, as_json: bool, identity: Path | None
+) -> None:
+    """Tell where controllers, books, proxies and their files differ. Exits with 1 if they do, 3 if someone is
+    silent."""
+    import time
+
+    from onyxhead.operate import drift
+    from onyxhead.operate.fleet import states
+
+    controllers, agents = members_of(fleet_file, addresses)
+    tls = identity_tls(identity)
+
+    async def look() -> list[drift.Difference]:
+        told = await asyncio.gather(
+            states(controllers, "/v1/state", TIMEOUT, tls), states(agents, "/v1/state", TIMEOUT, tls)
+        )
+        return drift.compare(*told)
+
+    first = asyncio.run(look())
+    if any(each.settles for each in first):
+        time.sleep(settle)
+        first = drift.lasting(first, asyncio.run(look()))
+    if as_json:
+        click.echo(json.dumps([each._asdict() for each in first], indent=2))
+    elif not first:
+        click.echo(f"{len(controllers)} controllers and {len(agents)} agents agree")
+    else:
+        show_rows("differences", [{"what": each.what, "where": each.where, "told": each.told} for each in first])
+    silent = any(each.what == "silent" for each in first)
+    sys.exit(UNKNOWN if silent else REFUSED if first else 0)
+
+
 @main.group("import")
 def import_() -> None:
     """Carry another program's configuration over."""
@@ -585,16 +743,7 @@
 
 def ask(address: str, target: str, identity: Path | None = None, given: object = None) -> Any:  # noqa: ANN401
     """The answer's value; ends the command if there is none."""
-    tls = None
-    if identity is not None:
-        from onyxhead.keys.rotate import Keys, Unusable
-
-        folder, name = identity.parent, identity.name
-        files = load.Tls(folder / f"{name}.crt", folder / f"{name}.key", folder / "authorities.pem", None, 1.0)
-        try:
-            tls = Keys(files).client
-        except Unusable as error:
-            stop(FAULTY, error)
+    tls = identity_tls(identity)
     try:
         request = Request("GET", target) if given is None else Request("POST", target, {}, json.dumps(given).encode())
         response = asyncio.run(ask_once(address_parts(address), request, TIMEOUT, tls))
--- a/onyxhead/controller/daemon.py
+++ b/onyxhead/controller/daemon.py
@@ -30,10 +30,11 @@
 from onyxhead.http.messages import Request, Response, answer, problem
 from onyxhead.http.server import Server
 from onyxhead.keys.rotate import Keys, Peer, peer_of
+from onyxhead.operate.standing import Backend, Command, Odd, Standing, held_out, selected
 from onyxhead.series.courses import Courses
 from onyxhead.series.courses import Unknown as Missing
 from onyxhead.settings.load import Controller
-from onyxhead.store.store import Store
+from onyxhead.store.store import Store, Unusable
 from onyxhead.tables.history import History, Unknown
 from onyxhead.tables.history import Refused as Impossible
 from onyxhead.tables.orders import Message, fold
@@ -46,6 +47,7 @@
 NUMBER_OF_ORDERS = 100
 TENTHS = 10_000
 LABELS = "table labels"
+STANDING = "operators' orders"
 
 if TYPE_CHECKING:
     from onyxhead.controller.configuration.desk import Desk
@@ -82,6 +84,7 @@
             self.desk = open_desk(self)
             self.tree = self.desk.stores.running
             start = deployment(self.tree, settings)
+        self.standing = Standing(self.store.kept(STANDING))
         history = History()
         rows = self.store.versions()
         history.restore((n, epoch, at, cause, _changes(changes)) for n, epoch, at, cause, changes in rows)
@@ -123,7 +126,7 @@
             return
         try:
             self.raw = roster.read(known.list_body)
-            news = self.follower.remember(overlaid(self.raw, self.tree))
+            news = self.follower.remember(self._as_ordered(self.raw))
         except roster.Unlisted as error:
             log.warning("the remembered list is not used", why=str(error))
             return
@@ -262,7 +265,7 @@
                 if isinstance(body, discovery.Unheard):
                     raise body
                 read = roster.read(body)
-                news = self.follower.follow(overlaid(read, self.tree))
+                news = self.follower.follow(self._as_ordered(read))
             except (discovery.Unheard, roster.Unlisted) as error:
                 if last != str(error):
                     last = str(error)
@@ -288,9 +291,63 @@
 
     def list_again(self) -> None:
         """The last list, under what operators say now."""
-        if self.raw is not None and (news := self.follower.follow(overlaid(self.raw, self.tree))) is not None:
+        if self.raw is not None and (news := self.follower.follow(self._as_ordered(self.raw))) is not None:
             self._listed(news)
 
+    def _as_ordered(self, read: roster.Roster) -> roster.Roster:
+        """A list under what the configuration and operators say of its backends."""
+        said = overlaid(read, self.tree)
+        listed = self.house.listed if hasattr(self, "house") else {}
+        places = self.follower.last.entries if hasattr(self, "follower") and self.follower.last else ()
+        serving = {e.id: e.started for e in places if e.id in listed and listed[e.id].ready}
+        entries = tuple(
+            each._replace(state="draining") if held_out(self.standing, each.id, each.started, serving) else each
+            for each in said.entries
+        )
+        return said._replace(entries=entries)
+
+    def _operate(self, request: Request) -> Response:
+        try:
+            command = Command.read(request.json())
+        except ValueError as error:
+            return problem(400, str(error))
+        if self.raw is None:
+            return problem(503, "no list has been heard yet")
+        from onyxhead.controller.office import facts
+
+        trial = self.standing.copy()
+        backends = [Backend(each.id, each.zone, each.kind) for each in self.raw.entries]
+        try:
+            told = trial.run(command, self.tree or tree_of(self.settings), backends, facts(self))
+            if not command.dry_run and not told.get("again"):
+                # On disk before it acts and before it is answered: the next life then knows the command, or never will.
+                self.store.keep(STANDING, trial.plain())
+        except Odd as error:
+            return problem(409, str(error))
+        except Unusable as error:
+            return problem(503, f"not written: {error}")
+        if not command.dry_run and not told.get("again"):
+            self.standing = trial
+            said = {name: told[name] for name in ("asked", "status", "why")}
+            log.info("operator", id=command.id, by=command.by, **said)
+            self.store.audited(command.by, 0, f"{command.verb} {' '.join(command.names)}", told["status"])
+            self.list_again()
+        return answer(200, told)
+
+    def progress(self, names: list[str]) -> dict[str, Any]:
+        """How far drains have come: which of the backends proxies may still use, as far as their answers prove."""
+        house = self.house
+        behind = sorted(
+            known.name for number, known in house.joined.items()
+            if (view := house.books.views.get(number)) is not None and house.applied.get(number, (0, ""))[1] != view.tag
+        )  # fmt: skip
+        backends = {}
+        for name in selected(names, [Backend(b, p.zone, "") for b, p in house.books.places.items()]):
+            entry = house.listed.get(name)
+            out = name in house.books.withdrawn or not any(name in lines for lines in house.books.tables.values())
+            backends[name] = {"ready": bool(entry and entry.ready), "out": out}
+        return {"backends": backends, "behind": behind}
+
     def rebuild(self, start: say.Deployment) -> None:
         """A new start of the module under other settings. Proxies keep their tables and join again, as after a crash:
         their full tables are then paced like any others."""
@@ -303,7 +360,7 @@
         self.house = self._house(start, epoch, self.house.numbers, self.house.history)
         self.follower = roster.Follower(self.settings.zones, self.clock.of_wall, self.clock.now)
         if self.raw is not None:
-            self.house.list_heard(self.clock.now(), self.follower.remember(overlaid(self.raw, self.tree)))
+            self.house.list_heard(self.clock.now(), self.follower.remember(self._as_ordered(self.raw)))
         self.house.withdrawn_before(self.clock.now(), withdrawn)
         log.info("rebuilt", epoch=epoch)
         self.stir.set()
@@ -447,6 +504,10 @@
                 return answer(200, {"records": as_records(tree, self.settings.prefixes)})
             case "GET", ["v1", "orders"]:
                 return answer(200, await asyncio.to_thread(self.store.orders, NUMBER_OF_ORDERS))
+            case "POST", ["v1", "operate"]:
+                return self._operate(request)
+            case "GET", ["v1", "operate", *names]:
+                return answer(200, self.progress([unquote(name) for name in names] or ["*"]))
             case ("POST", ["v1", "load", sender]) if self.reception is not None:
                 return self.reception.take(sender, request.body)
             case ("GET", ["v1", "load", "busy"]) if self.reception is not None:
@@ -490,7 +551,8 @@
         age = round(time.time() - self.list_heard_at, 1) if self.list_heard_at else None
         version = self.follower.last.version if self.follower.last else None
         own = {"name": self.settings.name, "list": {"version": version, "age_s": age}, "store": kept}
-        return own | self.house.state(self.clock.now())
+        orders = {"drained": sorted(self.standing.drained), "cordoned": sorted(self.standing.cordoned)}
+        return own | {"operators": orders} | self.house.state(self.clock.now())
 
     def _join(self, name: str, request: Request) -> Response:
         try:
--- a/onyxhead/settings/load.py
+++ b/onyxhead/settings/load.py
@@ -173,6 +173,17 @@
     return controller(found, path) if kind == "controller" else agent(found, path)
 
 
+def operators(path: Path) -> tuple[dict[str, Address], dict[str, Address]]:
+    """Controllers and agents by name. Raises Faulty."""
+    found, faults = check(gather(path), schema(), "#Operators"), list[Fault]()
+    addresses = _Addresses(found, faults)
+    controllers = {name: addresses.read(text, "controllers", name) for name, text in found["controllers"].items()}
+    agents = {name: addresses.read(text, "agents", name) for name, text in found["agents"].items()}
+    if faults:
+        raise Faulty(faults)
+    return controllers, agents
+
+
 def kind_of(files: list[File]) -> str:
     """What the files set up: told by `kind`, or else by the fields that only one kind has."""
     members = {member.name: member.value for file in files for member in file.struct.members}
--- /dev/null
+++ b/tests/test_operate.py
@@ -0,0 +1,251 @@
+"""Operators' commands: act once, end as applied, refused or not known; where members differ."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner
+
+from onyxhead.cli.main import main
+from onyxhead.controller.configuration.effects import Backend as Known
+from onyxhead.controller.configuration.effects import Facts
+from onyxhead.http.client import ask_once
+from onyxhead.http.messages import Request, Response, answer
+from onyxhead.http.server import Server
+from onyxhead.operate.drift import compare, lasting
+from onyxhead.operate.fleet import command as send
+from onyxhead.operate.standing import Backend, Command, Odd, Standing, held_out, selected
+from onyxhead.trial.run import free_ports
+from tests.test_sockets import BACKENDS, Running, list_of, play, port_of, shown, until
+
+TREE = {"group": [{"name": "read", "latency-budget": 5000, "expiry": 10000, "repeats": "retriable"}]}
+ALL = [Backend(f"b{n}", "north" if n < 4 else "south", "std" if n % 2 else "big") for n in range(8)]
+FACTS = Facts(tuple(Known(each.id, each.zone, True, True) for each in ALL), 10, 0.0, 6.0)
+
+
+def asked(verb: str, *names: str, number: str = "1", dry_run: bool = False) -> Command:
+    return Command.read({"id": number, "verb": verb, "names": list(names), "by": "ann", "dry_run": dry_run})
+
+
+def run(standing: Standing, verb: str, *names: str, **more: Any) -> dict[str, Any]:
+    return standing.run(asked(verb, *names, **more), TREE, ALL, FACTS)
+
+
+@pytest.mark.parametrize(("selectors", "found"), [
+    (["b1"], "b1"), (["b[01]"], "b0 b1"), (["zone=south"], "b4 b5 b6 b7"), (["zone=north&kind=std"], "b1 b3"), (["b7", "b1*"], "b1 b7"), (["x*"], ""),
+    (["zone=so*&b5"], "b5"), (["kind="], ""),
+])  # fmt: skip
+def test_selectors(selectors: list[str], found: str) -> None:
+    assert " ".join(selected(selectors, ALL)) == found
+
+
+@pytest.mark.parametrize("given", [
+    None, [], {}, {"id": "a b", "verb": "drain", "names": ["b"]}, {"id": "1", "verb": "explode", "names": ["b"]}, {"id": "1", "verb": "drain", "names": []},
+    {"id": "1", "verb": "drain", "names": "b1"}, {"id": "1", "verb": "drain", "names": ["b"], "dry_run": 1}, {"id": 1, "verb": "drain", "names": ["b"]},
+])  # fmt: skip
+def test_what_is_no_command_is_refused(given: Any) -> None:
+    with pytest.raises(Odd):
+        Command.read(given)
+
+
+def test_a_command_sent_twice_acts_once_also_after_something_else() -> None:
+    own = Standing()
+    first = run(own, "drain", "b1", number="a")
+    assert (first["status"], first["changed"]) == ("applied", ["b1"])
+    assert run(own, "restore", "b1", number="b")["changed"] == ["b1"]
+    again = run(own, "drain", "b1", number="a")
+    assert again["again"] and again["changed"] == ["b1"] and not own.drained
+    with pytest.raises(Odd, match="another command"):
+        run(own, "drain", "b2", number="a")
+
+
+def test_the_same_drain_from_two_operators_is_told_to_the_second() -> None:
+    own = Standing()
+    run(own, "drain", "b1", number="a")
+    second = run(own, "drain", "b1", "b2", number="b")
+    assert (second["status"], second["changed"]) == ("applied", ["b2"])
+    assert run(own, "drain", "b1", number="c")["why"] == "it was so already"
+
+
+def test_what_would_break_a_rule_is_refused_and_a_dry_run_changes_nothing() -> None:
+    own = Standing()
+    told = run(own, "drain", "*")
+    assert told["status"] == "refused" and "rule 1" in told["why"] and not own.drained
+    tried = run(own, "drain", "b1", number="2", dry_run=True)
+    assert tried["status"] == "applied" and tried["dry_run"] and not own.drained and "2" not in own.done
+    many = FACTS._replace(proxies=2_000)
+    assert "rule 3" in own.run(asked("drain", "b1", "b2", number="3"), TREE, ALL, many)["why"]
+    assert run(own, "drain", "nobody", number="4")["status"] == "refused"
+
+
+def test_what_the_configuration_drained_only_it_restores() -> None:
+    tree = TREE | {"backend": [{"id": "b1", "drained": True}]}
+    told = Standing().run(asked("restore", "b1"), tree, ALL, FACTS)
+    assert told["status"] == "refused" and "configuration" in told["why"]
+
+
+def test_a_cordon_keeps_out_who_is_not_in_and_lets_go_on_who_is() -> None:
+    own = Standing()
+    run(own, "cordon", "b1", "b2")
+    serving = {"b1": 5.0}
+    assert [held_out(own, "b1", 5.0, serving), held_out(own, "b1", 9.0, serving), held_out(own, "b2", 0.0, serving), held_out(own, "b3", 0.0, serving)] == [
+        False, True, True, False,
+    ]  # fmt: skip
+    run(own, "uncordon", "b*", number="2")
+    assert not held_out(own, "b2", 0.0, serving)
+
+
+def test_books_outlive_a_restart_and_what_is_gone_can_be_restored() -> None:
+    own = Standing()
+    run(own, "drain", "b1", number="a")
+    later = Standing(json.loads(json.dumps(own.plain())))
+    assert run(later, "drain", "b1", number="a")["again"] and later.drained == {"b1"}
+    told = later.run(asked("restore", "b*", number="z"), TREE, [], FACTS)
+    assert told["changed"] == ["b1"] and not later.drained
+    for n in range(600):
+        run(later, "drain", "b1", number=f"n{n}")
+    assert len(later.done) == 500
+
+
+# A fleet in which some do not answer
+
+
+def test_each_of_a_dozen_members_ends_as_applied_refused_or_not_known(tmp_path: Path) -> None:
+    async def work(running: Running) -> None:
+        controller = await running.controller()
+        (dead,) = free_ports(1)
+        came: list[str] = []
+
+        async def slow(request: Request, _w: asyncio.StreamWriter) -> Response:
+            await asyncio.sleep(30)
+            return answer(200, {})
+
+        async def older(request: Request, _w: asyncio.StreamWriter) -> Response:
+            return Response(404)
+
+        async def dies(request: Request, _w: asyncio.StreamWriter) -> None:
+            came.append(request.json()["id"])
+
+        async def late(request: Request, _w: asyncio.StreamWriter) -> Response:
+            came.append("late")
+            ready = came.count("late") > 2
+            return answer(200, {"status": "applied", "why": "", "changed": []}) if ready else Response(503, {}, b'{"detail": "starting"}')
+
+        async def garbles(request: Request, _w: asyncio.StreamWriter) -> Response:
+            return Response(200, {}, b"<html>")
+
+        members = {"c1": ("127.0.0.1", port_of(controller)), "dead": ("127.0.0.1", dead)}
+        for name, handler in (("slow", slow), ("older", older), ("dies", dies), ("late", late), ("garbles", garbles)):
+            for n in range(2):
+                members[f"{name}{n}"] = await Server(handler).start("127.0.0.1", 0)  # type: ignore[arg-type]
+        began = time.monotonic()
+        outcomes = await send(members, {"id": "x", "verb": "drain", "names": ["b1"], "by": "ann"}, 2.5)
+        assert time.monotonic() - began < 4.0 and len(outcomes) == 12
+        ended = {each.member: each.status for each in outcomes}
+        wanted = {"c1": "applied", "dead": "unknown"}
+        for name, status in (("slow", "unknown"), ("older", "refused"), ("dies", "unknown"), ("late", "applied"), ("garbles", "unknown")):
+            wanted |= {f"{name}{n}": status for n in range(2)}
+        assert ended == wanted and all(each.why for each in outcomes if each.status != "applied") and set(came) == {"x", "late"}
+        assert controller.standing.drained == {"b1"}
+
+    play(tmp_path, work)
+
+
+def test_a_command_that_meets_a_restart_is_finished_or_known(tmp_path: Path) -> None:
+    async def work(running: Running) -> None:
+        (port,) = free_ports(1)
+        first = await running.controller()
+        address = ("127.0.0.1", port_of(first))
+        given = {"id": "x", "verb": "drain", "names": ["b1"], "by": "ann"}
+        assert (await send({"c": address}, given, 2.0))[0].status == "applied"
+        first.over.set()
+        await until(lambda: running.tasks[0].done())
+        # It is down; the command goes on being sent, and the next life answers it under the same id.
+        import tests.test_sockets as sockets
+
+        text = sockets.CONTROLLER.replace("127.0.0.1:0", f"127.0.0.1:{port}")
+        sending = asyncio.create_task(send({"c": ("127.0.0.1", port)}, given | {"id": "y", "names": ["b2"]}, 6.0))
+        again = asyncio.create_task(send({"c": ("127.0.0.1", port)}, given, 6.0))
+        await asyncio.sleep(0.5)
+        before, sockets.CONTROLLER = sockets.CONTROLLER, text
+        try:
+            second = await running.controller()
+        finally:
+            sockets.CONTROLLER = before
+        assert (await sending)[0].status == "applied" and (await again)[0].told["again"]
+        assert second.standing.drained == {"b1", "b2"} and not second.house.listed["b1"].ready
+
+    play(tmp_path, work)
+
+
+def test_drain_wait_compare_and_restore_by_command(tmp_path: Path) -> None:
+    async def work(running: Running) -> None:
+        controller = await running.controller()
+        agent = await running.agent("p1", port_of(controller))
+        await until(lambda: len(shown(tmp_path, "p1")) == 3 and agent.server.listener)
+        assert agent.server.listener is not None
+        address, own = f"127.0.0.1:{port_of(controller)}", agent.server.listener.sockets[0].getsockname()[1]
+        (tmp_path / "fleet.rec").write_text(f'controllers: {{c1: "{address}"}}, agents: {{p1: "127.0.0.1:{own}"}}')
+
+        async def command(*words: str) -> tuple[int, str]:
+            done = await asyncio.to_thread(CliRunner().invoke, main, list(words))
+            return done.exit_code, done.output
+
+        code, told = await command("drain", "b1", "--at", address, "--dry-run")
+        assert code == 0 and "only tried" in told and not controller.standing.drained
+        assert (await command("drain", "*", "--at", address))[0] == 1
+        assert (await command("drain", "b1", "--fleet", str(tmp_path / "fleet.rec"), "--id", "n1"))[0] == 0
+        assert (await command("wait", "b1", "--at", address))[0] == 0
+        assert shown(tmp_path, "p1") == {9002, 9003}
+        # A list that still calls it ready changes nothing.
+        list_of(tmp_path, 2, [*BACKENDS, {"id": "b4", "address": "127.0.0.1:9004", "zone": "north", "state": "ready"}])
+        await until(lambda: 9004 in shown(tmp_path, "p1"))
+        assert 9001 not in shown(tmp_path, "p1")
+        code, told = await command("wait", "b2", "--at", address, "--within", "0.3")
+        assert code == 1 and "still in: b2" in told
+        code, told = await command("compare", "--fleet", str(tmp_path / "fleet.rec"), "--settle", "0.3")
+        assert code == 0 and "agree" in told, told
+        (tmp_path / "p1" / "eds.json").write_text((tmp_path / "p1" / "eds.json").read_text().replace('"version_info":"', '"version_info":"0'))
+        code, told = await command("compare", "--fleet", str(tmp_path / "fleet.rec"), "--settle", "0.1", "--json")
+        assert code == 1 and json.loads(told)[0]["what"] == "files"
+        assert (await command("restore", "b1", "--at", address))[0] == 0
+        await until(lambda: 9001 in shown(tmp_path, "p1"))
+        assert (await command("drain", "b1"))[0] == 2 and (await command("drain", "b1", "--at", "127.0.0.1:1", "--within", "0.4"))[0] == 3
+
+    play(tmp_path, work)
+
+
+# Drift
+
+
+def state(version: int = 3, tag: str = '"t1"', **backends: dict[str, Any]) -> dict[str, Any]:
+    usual = {"address": "a:1", "ready": True, "draining": False, "withdrawn": False}
+    return {"list": {"version": version}, "proxies": {"p1": {"tag": tag}}, "backends": {"b1": usual, **{n: usual | own for n, own in backends.items()}}}
+
+
+def test_differences_between_controllers_books_proxies_and_files() -> None:
+    agent = {"tag": '"t1"', "files": '"t1"'}
+    lone = state() | {"proxies": {}}
+    assert compare({"c1": state(), "c2": lone}, {"p1": agent}) == []
+    found = compare({"c1": state(b2={"withdrawn": True}), "c2": state(2, '"t9"', b2={}, b1={"address": "x:9"}), "c3": None}, {"p1": agent | {"files": '"t0"'}, "p2": agent})
+    told = {(each.what, each.where) for each in found}
+    assert told == {("list", "c2"), ("backend", "b1"), ("backend", "b2"), ("proxy", "p1"), ("proxy", "p2"), ("files", "p1"), ("silent", "c3")}
+    assert [each.what for each in lasting([], found)] == ["backend", "silent"] and lasting(found, found) == found
+    unknown = compare({"c1": state(b5={}), "c2": lone}, {})
+    assert [(each.where, each.settles) for each in unknown] == [("b5", True)]
+
+
+def test_an_operator_that_asks_with_nonsense_is_told_so(tmp_path: Path) -> None:
+    async def work(running: Running) -> None:
+        controller = await running.controller()
+        for body in (b"", b"[]", b'{"id": "x"}', b"{"):
+            response = await ask_once(("127.0.0.1", port_of(controller)), Request("POST", "/v1/operate", {}, body), 2.0)
+            assert response.status == 400
+        assert not controller.standing.done
+
+    play(tmp_path, work)
