An incident told as one page from the controllers' own records, gaps as gaps

Need: after an incident somebody must explain what happened, also where a controller was down. Change: onyxhead/incident (events, gaps, backends' courses, controllers that differed; a page of HTML with no script and nothing from elsewhere), lives with a beat in the store, onyxhead incident.

--- a/onyxhead/cli/main.py
+++ b/onyxhead/cli/main.py
@@ -602,6 +602,65 @@
     sys.exit(UNKNOWN if silent else REFUSED if first else 0)
 
 
+@main.command()
+@click.argument("states", nargs=-1, required=True, type=EXISTING)
+@click.option("--since", required=True, help="UTC: 2026-12-01T16:00:00, or seconds before the end, such as -600.")
+@click.option("--until", help="UTC; now if left out.")
+@click.option("--title", default="Incident", show_default=True)
+@click.option("--course", "shown_courses", multiple=True, help="A course to draw, such as busy.b*.")
+@click.option("--out", type=EXISTING, required=True)
+def incident(
+    states: tuple[Path, ...], since: str, until: str | None, title: str, shown_courses: tuple[str, ...], out: Path
+) -> None:
+    """Write what happened as a page of HTML, from controllers' state folders STATES alone."""
+    import fnmatch
+    import time
+    from datetime import UTC, datetime
+
+    from onyxhead.incident import timeline
+    from onyxhead.incident.page import page
+    from onyxhead.series.courses import Courses, Unknown
+    from onyxhead.store.store import Unusable, recorded
+
+    def moment(text: str, end: float) -> float:
+        try:
+            if text.startswith("-"):
+                return end + float(text)
+            return datetime.fromisoformat(text).replace(tzinfo=UTC).timestamp()
+        except ValueError:
+            stop(FAULTY, f"{text!r} is no moment")
+
+    end = moment(until, time.time()) if until is not None else time.time()
+    begin = moment(since, end)
+    records, curves = [], {}
+    for folder in states:
+        if not (folder / "onyxhead.db").is_file():
+            stop(FAULTY, f"{folder}: no controller's state is there")
+        try:
+            told = recorded(folder / "onyxhead.db", folder.name, begin, end)
+        except Unusable as error:
+            stop(REFUSED, error)
+        lives = tuple(timeline.Life(*row) for row in told["lives"])
+        rows = tuple(told["orders"]), tuple(told["lists"]), tuple(told["audit"])
+        records.append(timeline.Records(folder.name, lives, *rows))
+        if (folder / "series").is_dir():
+            kept = Courses(folder / "series")
+            for name in kept.names():
+                if not any(fnmatch.fnmatchcase(name, wanted) for wanted in shown_courses):
+                    continue
+                try:
+                    course = kept.read(name, begin, end)
+                except Unknown:
+                    continue
+                points = [(course["since"] + n * course["step"], value) for n, value in enumerate(course["figures"])]
+                curves[f"{name} ({folder.name})"] = points
+    found = timeline.courses(records, begin, end)
+    happened, missing = timeline.events(records, begin, end), timeline.gaps(records, begin, end)
+    text = page(title, begin, end, happened, missing, found, curves, timeline.disagreements(found))
+    out.write_text(text, encoding="utf-8")
+    click.echo(f"{out}: {len(happened)} events, {len(missing)} gaps")
+
+
 @main.group("import")
 def import_() -> None:
     """Carry another program's configuration over."""
--- a/onyxhead/controller/daemon.py
+++ b/onyxhead/controller/daemon.py
@@ -163,6 +163,7 @@
             self.start(self.alliance.run())
         if self.reception is not None:
             self.start(self.reception.run())
+        self.start(self._beating())
         self.start(self._follow())
         self.start(self._steps())
         try:
@@ -365,6 +366,11 @@
         log.info("rebuilt", epoch=epoch)
         self.stir.set()
 
+    async def _beating(self) -> None:
+        while True:
+            self.store.beat(self.house.epoch)
+            await asyncio.sleep(BEAT)
+
     async def _confirming(self, desk: Desk) -> None:
         while True:
             desk.tick()
--- /dev/null
+++ b/onyxhead/incident/__init__.py
@@ -0,0 +1,1 @@
+"""What an incident was like, told from the controllers' own records."""
--- a/onyxhead/store/store.py
+++ b/onyxhead/store/store.py
@@ -16,6 +16,7 @@
 from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any, NamedTuple
+from urllib.parse import quote
 
 LISTS_KEPT = 50
 ORDERS_KEPT = 20_000
@@ -40,6 +41,7 @@
 create table if not exists versions (
     number integer primary key, epoch integer, at integer, cause text, changes text, digest text
 ) strict;
+create table if not exists lives (epoch integer primary key, began real, seen real) strict;
 create table if not exists audit (
     number integer primary key, at real, user text, session integer, what text, result text
 ) strict;
@@ -53,7 +55,6 @@
 
 Write = tuple[str, tuple[Any, ...]]
 
-
 class Remembered(NamedTuple):
     """What the last life left. `heard` and `withdrawn` in seconds of the wall's clock."""
 
@@ -63,19 +64,39 @@
     numbers: dict[str, int]
     withdrawn: dict[str, float]
 
-
 class _Broken(sqlite3.DatabaseError):
     sqlite_errorcode = sqlite3.SQLITE_CORRUPT
 
-
 class Unusable(OSError):
     """The store can't be opened or written; the text says why."""
 
+def recorded(path: Path, name: str, since: float, until: float) -> dict[str, Any]:
+    """What a store holds of a stretch, read without touching it, also while a controller writes. Raises Unusable."""
+    try:
+        with contextlib.closing(sqlite3.connect(f"file:{quote(str(path))}?mode=ro", uri=True, timeout=5.0)) as db:
+
+            def ask(sql: str, *values: float) -> list[tuple[Any, ...]]:
+                return db.execute(sql, values).fetchall()
+
+            orders = []
+            names = "number, at, epoch, turn, causes, decisions, digest"
+            rows = ask(f"select {names} from orders where at <= ? order by number", until)
+            for *row, digest in rows:
+                sound = None if digest is None else digest == _record(*row[1:])
+                causes, decisions = ([], []) if sound is False else (json.loads(row[4]), json.loads(row[5]))
+                told = {"number": row[0], "at": row[1], "causes": causes, "decisions": decisions}
+                orders.append(told | {"sound": sound})
+            lives = ask("select epoch, began, seen from lives order by epoch")
+            span = "between ? and ? order by number"
+            lists = ask(f"select heard, version from lists where heard {span}", since, until)
+            audit = ask(f"select at, user, what, result from audit where at {span}", since, until)
+            return {"name": name, "orders": orders, "lives": lives, "lists": lists, "audit": audit}
+    except (sqlite3.Error, ValueError) as error:
+        raise Unusable(f"{path}: {error}") from None
 
 def _record(*fields: object) -> str:
     return hashlib.blake2b(json.dumps(fields).encode(), digest_size=16).hexdigest()
 
-
 class Store:
     """One database file. Opening it begins a new epoch, which is on disk before the first order."""
 
@@ -118,6 +139,7 @@
                 row = db.execute("select value from meta where name = 'epoch'").fetchone()
                 epoch = (row[0] if row else 0) + 1
                 db.execute("insert or replace into meta values ('epoch', ?)", (epoch,))
+                db.execute("insert or replace into lives values (?, ?, ?)", (epoch, self.wall(), self.wall()))
             last = db.execute("select body, heard from lists order by number desc limit 1").fetchone()
             numbers = dict(db.execute("select name, number from proxies").fetchall())
             withdrawn = dict(db.execute("select backend, at from withdrawn").fetchall())
@@ -157,6 +179,12 @@
         if turn % COMPACT_EVERY == 0:
             self._put(f"delete from orders where number <= (select max(number) - {ORDERS_KEPT} from orders)")
 
+    def beat(self, epoch: int) -> None:
+        """This life goes on; what has no beat is told as a gap later."""
+        now = self.wall()
+        sql = "insert into lives values (?, ?, ?) on conflict (epoch) do update set seen = excluded.seen"
+        self._put(sql, epoch, now, now)
+
     # What must be on disk before it is answered
 
     def next_epoch(self) -> int:
