--- a/onyxhead/cli/main.py
+++ b/onyxhead/cli/main.py
@@ -26,6 +26,7 @@
 REFUSED, FAULTY, UNKNOWN = 1, 2, 3
 TIMEOUT = 3.0
 EXISTING = click.Path(path_type=Path)
+AS_JSON = click.option("--json", "as_json", is_flag=True)
 
 
 def stop(code: int, *lines: object) -> NoReturn:
@@ -125,6 +126,84 @@
     click.echo(f"{len(files)} sound")
 
 
+@main.command()
+@click.argument("files", nargs=-1, required=True, type=EXISTING)
+@click.option("--check", "only_check", is_flag=True, help="Change nothing; exit with 1 if a file is not laid out so.")
+def fmt(files: tuple[Path, ...], only_check: bool) -> None:
+    """Lay settings files out evenly. Comments stay, the meaning can't change, and a file with faults is left alone."""
+    from onyxhead.records.layout import laid_out
+    from onyxhead.records.syntax import parse
+
+    faults: list[object] = []
+    other = []
+    for path in files:
+        try:
+            text = path.read_bytes().decode()
+            parse(text, str(path))
+        except (OSError, UnicodeDecodeError) as error:
+            faults.append(f"{path}:1:1: cannot read it: {error}")
+            continue
+        except Faulty as error:
+            faults += error.faults
+            continue
+        made = laid_out(text)
+        if made != text:
+            other.append(path)
+            if not only_check:
+                beside = path.with_name(f".{path.name}.new")
+                beside.write_text(made, encoding="utf-8")
+                beside.replace(path)
+    for path in other:
+        click.echo(f"{path}: {'is not laid out so' if only_check else 'laid out'}")
+    if faults:
+        stop(FAULTY, *faults)
+    sys.exit(REFUSED if only_check and other else 0)
+
+
+@main.command()
+@click.argument("one", type=EXISTING)
+@click.argument("two", type=EXISTING)
+@AS_JSON
+def diff(one: Path, two: Path, as_json: bool) -> None:
+    """Tell what differs in meaning between settings ONE and TWO, and which rules each change presses on."""
+    from onyxhead.records.changes import changes, kinds
+    from onyxhead.records.files import check as checked
+    from onyxhead.records.files import gather
+
+    found, definitions = [], []
+    faults: list[object] = []
+    for path in (one, two):
+        try:
+            files = gather(path)
+            text, name = load.definition_of(files)
+            definitions.append((text, name))
+            found.append(checked(files, text, name))
+        except Faulty as error:
+            faults += error.faults
+    if faults:
+        stop(FAULTY, *faults)
+    if definitions[0][1] != definitions[1][1]:
+        stop(FAULTY, f"{one} holds a {definitions[0][1]}, {two} a {definitions[1][1]}")
+    told = changes(found[0], found[1], kinds(definitions[0][0]))
+    if as_json:
+        click.echo(json.dumps([each._asdict() for each in told], indent=2))
+    else:
+        for each in told:
+            click.echo(each.text + (f"  (rule {', '.join(each.rules.split())})" if each.rules else ""))
+    sys.exit(REFUSED if told else 0)
+
+
+@main.command("schema")
+@click.argument("kind", type=click.Choice(["controller", "agent", "operators", "routing"]))
+def json_schema(kind: str) -> None:
+    """Write the JSON Schema of a kind of settings, for editors."""
+    from onyxhead.records.json_schema import schema
+    from onyxhead.routing.files import schema as routing
+
+    text = routing() if kind == "routing" else load.schema()
+    click.echo(json.dumps(schema(text, f"#{kind.capitalize()}"), indent=2))
+
+
 @main.command()
 @click.argument("address")
 @click.option("--json", "as_json", is_flag=True, help="All that is known, as JSON.")
@@ -180,7 +259,6 @@
     """Versions of a controller's tables, and the way back."""
 
 
-AS_JSON = click.option("--json", "as_json", is_flag=True)
 IDENTITY = click.option("--as", "identity", type=EXISTING, help="FOLDER/NAME of the certificate to show.")
 
 
--- a/onyxhead/records/meaning.py
+++ b/onyxhead/records/meaning.py
@@ -244,6 +244,8 @@
         limits = (*one.limits, *(limit for limit in two.limits if limit not in one.limits))
         patterns = (*one.patterns, *(each for each in two.patterns if each not in one.patterns))
         literal = one.literal or two.literal
+        if kind == "int" and literal is not None and literal.kind == "number":
+            return self.fault(literal.at, f"{_called(name)}{literal.text} where {UNITS['int']} is wanted ({other.at})")
         made = Scalar(literal.at if literal else at.at, kind, limits, patterns, literal)
         return self.checked(made, name) if literal else made
 
--- a/onyxhead/settings/load.py
+++ b/onyxhead/settings/load.py
@@ -184,6 +184,16 @@
     return controllers, agents
 
 
+def definition_of(files: list[File]) -> tuple[str, str]:
+    """The schema's text and the definition that files are held against."""
+    names = {member.name for file in files for member in file.struct.members}
+    if names & {"pools", "hosts", "choices", "splits"}:
+        return resources.files("onyxhead.routing").joinpath("schema.rec").read_text(encoding="utf-8"), "#Routing"
+    if names and names <= {"controllers", "agents"}:
+        return schema(), "#Operators"
+    return schema(), KINDS[kind_of(files)]
+
+
 def kind_of(files: list[File]) -> str:
     """What the files set up: told by `kind`, or else by the fields that only one kind has."""
     members = {member.name: member.value for file in files for member in file.struct.members}
