--- a/onyxhead/cli/main.py
+++ b/onyxhead/cli/main.py
@@ -680,6 +680,30 @@
     sys.exit(UNKNOWN if silent else REFUSED if first else 0)
 
 
+@main.command()
+@AT
+@FLEET
+@click.option("--every", default=2.0, show_default=True, help="Seconds between questions to a member.")
+@IDENTITY
+def console(addresses: tuple[str, ...], fleet_file: Path | None, every: float, identity: Path | None) -> None:
+    """Watch a fleet in the terminal: alarms, members, backends, proxies, orders under way."""
+    from onyxhead.console.app import Console as App
+
+    controllers, _ = members_of(fleet_file, addresses)
+    tls = identity_tls(identity)
+
+    async def asked(member: str, target: str) -> Any:  # noqa: ANN401
+        try:
+            response = await ask_once(controllers[member], Request("GET", target), TIMEOUT, tls)
+        except Fault as error:
+            raise OSError(str(error)) from None
+        if response.status != 200:
+            raise OSError(f"{response.status}")
+        return response.json()
+
+    App(list(controllers), asked, every).run()
+
+
 @main.command()
 @click.argument("states", nargs=-1, required=True, type=EXISTING)
 @click.option("--since", required=True, help="UTC: 2026-12-01T16:00:00, or seconds before the end, such as -600.")
--- /dev/null
+++ b/tests/test_console.py
@@ -0,0 +1,89 @@
+"""The console: what its rows say of members that are silent, differ or are in trouble, and that it fits a small terminal."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from onyxhead.console import rows
+from onyxhead.console.app import TABS, Console
+from onyxhead.console.rows import Told
+
+LINE = {"address": "a:1", "zone": "north", "ready": True, "draining": False, "withdrawn": False, "lines": {"0": 1_000_000}}
+
+
+def state(**more: Any) -> dict[str, Any]:
+    usual: dict[str, Any] = {
+        "epoch": 2, "list": {"version": 7, "age_s": 1.0}, "channel": {"waiting": 10.0, "most": 2000.0, "peak": 20.0}, "store": {"failing": "", "dropped": 0},
+        "version": 12, "held": None, "trial": None, "proxies": {"p1": {"zone": "north", "joined_for_s": 9.0, "bound": True, "turn": 4, "tag": '"t"'}},
+        "backends": {"b1": LINE, "b2": LINE | {"withdrawn": True, "ready": False}}, "operators": {},
+    }  # fmt: skip
+    return usual | more
+
+
+ORDER = {"at": 990.0, "causes": ["list: 1 changes"], "decisions": [["withdraw", "b2"], ["lines", 0, {"b1": 0.5}], ["level", 0, [1], 0.25, 1]], "sound": True}
+LOAD = {"backends": {"b1": {"busy": {"value": 0.42, "error": 0.01}, "trust": 0.1, "why": "answers are later than its word allows"}}}
+
+
+def told(**members: Told) -> dict[str, Told]:
+    return members
+
+
+def test_a_member_that_does_not_answer_is_not_known_and_never_as_it_was() -> None:
+    shown = rows.fleet(told(c1=Told(state(), [], None, 1.0), c2=Told(None, [], None, 0.0), c3=Told(state(), [], None, 60.0)))
+    assert shown[0] == ("c1", "1 s", "2", "7", "1", "10/2000", "12")
+    assert shown[1] == ("c2", "never heard", *"?????") and shown[2] == ("c3", "silent for 60 s", *"?????")
+    gone = told(c3=Told(state(), [], LOAD, 60.0))
+    assert rows.backends(gone) == [] and rows.proxies(gone) == [] and [each.grave for each in rows.alarms(gone)] == [True]
+
+
+def test_backends_show_where_members_differ_and_whose_word_is_doubted() -> None:
+    other = state(backends={"b1": LINE | {"draining": True, "ready": False, "lines": {}}, "b3": LINE | {"lines": {}}})
+    shown = {row[0]: row[1:] for row in rows.backends(told(c1=Told(state(), [], LOAD, 1.0), c2=Told(other, [], None, 1.0)))}
+    assert shown["b1"] == ("north", "c1:in c2:draining", "1.00", "42%", "answers are later than its word allows")
+    assert shown["b2"][1] == "c1:out c2:unlisted" and shown["b3"][1] == "c1:unlisted c2:waiting"
+
+
+def test_orders_and_a_backends_course_are_told_newest_first() -> None:
+    late = ORDER | {"at": 995.0, "sound": False}
+    shown = rows.orders(told(c1=Told(state(), [ORDER, late], None, 1.0)), 1000.0)
+    assert shown[0] == ("5 s", "c1", "list: 1 changes", "damaged record") and shown[1][3] == "withdraw b2; t0: b1=0.5; t0: groups [1] let in 25%"
+    assert rows.course(told(c1=Told(state(), [ORDER], None, 1.0)), "b1", 1000.0) == [("10 s", "c1", "0.5 in t0")]
+
+
+def test_alarms_name_what_presses_on_a_rule() -> None:
+    bad = state(channel={"waiting": 1900.0, "most": 2000.0, "peak": 1900.0}, store={"failing": "disk full", "dropped": 3}, held=9, list={"version": 1, "age_s": None},
+                backends={"b1": LINE | {"ready": False}}, proxies={"p1": {"zone": "n", "joined_for_s": 9.0, "bound": False, "turn": 0, "tag": ""}}, operators={"drained": ["b1"], "cordoned": []})  # fmt: skip
+    found = rows.alarms(told(c1=Told(bad, [], None, 1.0), c2=Told(state(), [], None, 1.0)))
+    texts = " | ".join(f"{each.grave:d} {each.where} {each.text}" for each in found)
+    for wanted in ("1 c1 1900 of 2000 lines wait (rule 5)", "1 c1 its store takes nothing", "1 c1 no backend is in (rule 1)", "0 c1 heard a list never", "0 c1 tables are held",
+                   "0 c1 1 proxies wait", "0 c1 drained by an operator: b1", "0 p1 counted by c1 and c2", "0 c1 3 records"):  # fmt: skip
+        assert wanted in texts, texts
+    assert [each.grave for each in found] == sorted((each.grave for each in found), reverse=True)
+
+
+def test_the_console_works_in_a_small_terminal_with_a_slow_and_a_dead_member() -> None:
+    async def ask(member: str, target: str) -> Any:
+        if member == "dead":
+            raise OSError("no answer")
+        if member == "slow":
+            await asyncio.sleep(30)
+        if target == "/v1/load":
+            raise OSError("404")
+        return [ORDER] if target == "/v1/orders" else state()
+
+    async def work() -> None:
+        app = Console(["c1", "dead", "slow"], ask, 0.05)
+        async with app.run_test(size=(80, 24)) as pilot:
+            await pilot.pause(0.5)
+            tables = {name: app.query_one(f"#{name}") for name in TABS}
+            assert [tables["fleet"].get_row_at(n)[0] for n in range(3)] == ["c1", "dead", "slow"]  # type: ignore[attr-defined]
+            assert tables["fleet"].get_row_at(0)[2] == "2" and tables["fleet"].get_row_at(1)[1] == "never heard"  # type: ignore[attr-defined]
+            assert "2 grave" in app.sub_title
+            await pilot.press("3", "enter")
+            await pilot.pause(0.2)
+            assert app.backend == "b1" and tables["course"].row_count == 1  # type: ignore[attr-defined]
+            assert all(widget.region.right <= 80 and widget.region.bottom <= 24 for widget in app.query("Header, Footer, TabbedContent"))
+            await pilot.press("q")
+
+    asyncio.run(work())
