Records are read without a tree in between

Need: reading 20,000 dense lines took 24 s, nearly all of it parsing. Change: the parser makes terms as it reads; places come from words, not from a tree's positions. Result: function calls for 2,000 lines halve (5.4 to 2.8 million), parsing 2.2 s to 1.7 s beside a running test suite.

--- a/onyxhead/records/syntax.py
+++ b/onyxhead/records/syntax.py
@@ -116,12 +116,14 @@
 
 
 class _Build(lark.Transformer[lark.Token, Any]):
-    def __init__(self, file: str) -> None:
+    """Makes terms while the parser reads, so that no tree is built in between; the places come from the words."""
+
+    def __init__(self) -> None:
         super().__init__()
-        self.file, self.faults = file, list[Fault]()
+        self.file, self.faults = "", list[Fault]()
 
-    def at(self, meta: Any) -> Place:  # noqa: ANN401
-        return Place(self.file, meta.line, meta.column)
+    def begin(self, file: str) -> None:
+        self.file, self.faults = file, []
 
     def _token(self, token: lark.Token) -> Place:
         return Place(self.file, token.line or 1, token.column or 1)
@@ -163,45 +165,40 @@
         figure, unit = re.fullmatch(r"([0-9.]+)([A-Za-z]+)", parts[0]).groups()  # type: ignore[union-attr]
         return Literal(self._token(parts[0]), "size", round(float(figure) * SIZES[unit]), str(parts[0]))
 
-    @lark.v_args(meta=True)
-    def bound(self, meta: Any, parts: list[Any]) -> Limit:  # noqa: ANN401
-        return Limit(self.at(meta), str(parts[0]), parts[1])
+    def bound(self, parts: list[Any]) -> Limit:
+        return Limit(self._token(parts[0]), str(parts[0]), parts[1])
 
-    @lark.v_args(meta=True)
-    def match(self, meta: Any, parts: list[lark.Token]) -> Pattern:  # noqa: ANN401
-        regex = self._text(parts[0])
+    def match(self, parts: list[lark.Token]) -> Pattern:
+        regex = self._text(parts[1])
         try:
             re.compile(regex)
         except re.error as error:
-            self.faults.append(Fault(self._token(parts[0]), f"no pattern: {error}"))
+            self.faults.append(Fault(self._token(parts[1]), f"no pattern: {error}"))
             regex = ""
-        return Pattern(self.at(meta), regex)
+        return Pattern(self._token(parts[0]), regex)
 
-    @lark.v_args(meta=True)
-    def either(self, meta: Any, parts: list[Any]) -> Either:  # noqa: ANN401
+    def either(self, parts: list[Any]) -> Either:
         marked = [part if isinstance(part, tuple) else (False, part) for part in parts]
+        at = marked[0][1].at
         if sum(chosen for chosen, _ in marked) > 1:
-            self.faults.append(Fault(self.at(meta), "more than one default"))
-        return Either(self.at(meta), tuple(marked))
+            self.faults.append(Fault(at, "more than one default"))
+        return Either(at, tuple(marked))
 
     def default(self, parts: list[Term]) -> tuple[bool, Term]:
         return True, parts[0]
 
-    @lark.v_args(meta=True)
-    def both(self, meta: Any, parts: list[Term]) -> Both:  # noqa: ANN401
-        return Both(self.at(meta), tuple(parts))
+    def both(self, parts: list[Term]) -> Both:
+        return Both(parts[0].at, tuple(parts))
 
-    @lark.v_args(meta=True)
-    def reference(self, meta: Any, parts: list[lark.Token]) -> Reference:  # noqa: ANN401
-        return Reference(self.at(meta), tuple(map(str, parts)))
+    def reference(self, parts: list[lark.Token]) -> Reference:
+        return Reference(self._token(parts[0]), tuple(map(str, parts)))
 
     def tail(self, parts: list[Term]) -> tuple[str, Term]:
         return "tail", parts[0]
 
-    @lark.v_args(meta=True)
-    def row(self, meta: Any, parts: list[Any]) -> ListOf:  # noqa: ANN401
-        rest = parts.pop()[1] if parts and isinstance(parts[-1], tuple) else None
-        return ListOf(self.at(meta), tuple(parts), rest)
+    def row(self, parts: list[Any]) -> ListOf:
+        rest = parts.pop()[1] if isinstance(parts[-1], tuple) else None
+        return ListOf(self._token(parts[0]), tuple(parts[1:]), rest)
 
     def label(self, parts: list[lark.Token]) -> tuple[Place, str]:
         token = parts[0]
@@ -211,15 +208,14 @@
         at, name = parts[0]
         return Member(at, name, len(parts) == 3, parts[-1])
 
-    def pattern(self, parts: list[Term]) -> tuple[str, Term]:
-        return "pattern", parts[0]
+    def pattern(self, parts: list[Any]) -> tuple[str, Term]:
+        return "pattern", parts[1]
 
     def rest(self, _parts: list[Any]) -> tuple[str, None]:
         return "rest", None
 
-    @lark.v_args(meta=True)
-    def struct(self, meta: Any, parts: list[Any]) -> Struct:  # noqa: ANN401
-        return self._struct(self.at(meta), parts)
+    def struct(self, parts: list[Any]) -> Struct:
+        return self._struct(self._token(parts[0]), parts[1:])
 
     def _struct(self, at: Place, parts: list[Any]) -> Struct:
         members = tuple(part for part in parts if isinstance(part, Member))
@@ -239,14 +235,15 @@
 
 
 @cache
-def _parser() -> lark.Lark:
+def _parser() -> tuple[lark.Lark, _Build]:
     grammar = resources.files("onyxhead.records").joinpath("grammar.lark").read_text(encoding="utf-8")
-    return lark.Lark(grammar, parser="lalr", propagate_positions=True, maybe_placeholders=False)
+    build = _Build()
+    return lark.Lark(grammar, parser="lalr", transformer=build, maybe_placeholders=False), build
 
 
 EXPECTED = {
     "COLON": "':'", "RBRACE": "'}'", "RSQB": "']'", "RPAR": "')'", "COMMA": "','", "NAME": "a name",
-    "STRING": "a string", "LBRACE": "'{'", "$END": "the end of the file", "VBAR": "'|'", "__ANON_0": "'=~'",
+    "STRING": "a string", "LBRACE": "'{'", "LSQB": "'['", "$END": "the end of the file", "VBAR": "'|'", "MATCH": "'=~'",
 }  # fmt: skip
 
 
@@ -254,9 +251,10 @@
     """The file's tree. Raises Faulty, with what was expected at the first place that does not fit."""
     if (deep := _too_deep(text)) is not None:
         raise Faulty([Fault(Place(file, deep, 1), f"nested more than {NESTED} deep")])
-    build = _Build(file)
+    parser, build = _parser()
+    build.begin(file)
     try:
-        tree = _parser().parse(text)
+        found: Any = parser.parse(text)
     except lark.UnexpectedToken as error:
         names = sorted({EXPECTED[name] for name in error.expected | error.accepts if name in EXPECTED})
         found = "the end of the file" if error.token.type == "$END" else repr(str(error.token))
@@ -267,7 +265,6 @@
         mark = text[error.pos_in_stream or 0]
         said = "a string that does not end on its line" if mark == '"' else f"{mark!r} does not fit here"
         raise Faulty([Fault(Place(file, error.line, error.column), said)]) from None
-    found = build.transform(tree)
     if build.faults:
         raise Faulty(build.faults)
     assert isinstance(found, File)
