--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -6,7 +6,7 @@
 import json
 import sys
 
-NAMES = ("swaps", "batch", "fan", "days", "commits", "tables", "intake", "routes")
+NAMES = ("swaps", "batch", "fan", "days", "commits", "tables", "intake", "routes", "operate")
 
 
 def main() -> int:
