--- a/onyxhead/brain.py
+++ b/onyxhead/brain.py
@@ -76,7 +76,7 @@
 
     def hear_anew(self, now: int) -> None:
         self.trust, self.part, self.load, self.held = 1.0, 1.0, 0.0, 0.0
-        self.share, self.asked = 1.0, 0.0  # of what it bears, what controllers agreed on; of that, what would come
+        self.share, self.asked = 1.0, 0.0  # of what it bears: agreed on by controllers; what would come
         self.fits: dict[int, float] = {}  # by table
         self.recent = Record()
         self.forget(now)
@@ -241,7 +241,7 @@
     # What is decided
 
     def cold(self, now: int) -> list[tuple[str, int, float, float]]:
-        """Cold backends, their starts, the usual flows of their weight, and what of that would come unheld."""
+        """Cold backends, their starts, the usual flows of their weight, and what would come unheld."""
         usual = [(b, self.unit * b.weight) for b in self._up() if self._warmth(b, now) < 1]
         return [(b.id, b.started, flows, flows * b.asked) for b, flows in usual]
 
