A flood of new names crowds out no known sender, and fills no memory

Cause: never-heard senders came before all others, so ever new names would have starved the known; counts of what was shed were kept by name for good. Change: never-heard and known senders are taken by turns; counts by name are bounded.

--- a/onyxhead/controller/reception.py
+++ b/onyxhead/controller/reception.py
@@ -15,7 +15,7 @@
 
 import structlog
 
-from onyxhead.controller.receiver import DECODE, HEAD, Taking
+from onyxhead.controller.receiver import DECODE, HEAD, Frame, Taking
 from onyxhead.http.messages import Response
 from onyxhead.intake.picture import Sums, merged
 from onyxhead.series.courses import Courses
@@ -28,6 +28,8 @@
 WEIGH = 1.0
 COURSE = 10.0
 AGAIN = 0.5
+SHED = "shed of "
+MOST_SHED = 1_000
 log = structlog.get_logger()
 
 
@@ -36,6 +38,7 @@
         self.daemon, self.settings = daemon, settings
         self.taking = Taking(daemon.settings.seed, settings.budget, None, daemon.clock)
         self.counts: Counter[str] = Counter()
+        self.shed: Counter[str] = Counter()
         self.waiting: list[Sums] = []
         self.courses = Courses(settings.series) if settings.series is not None else None
         self.begun = self.ended = 0
@@ -50,7 +53,7 @@
         while True:
             await asyncio.sleep(self.settings.every)
             frame = self.taking.beat()
-            self.counts.update(frame.counts)
+            self._count(frame)
             # All that came since the last beat, from whomever, is one picture: none is judged on half of it.
             sums, self.waiting = merged([*frame.sums, *self.waiting]), []
             now = self.daemon.clock.now()
@@ -64,6 +67,16 @@
                 written = now
                 await asyncio.to_thread(self.courses.write, time.time(), self._figures(now))
 
+    def _count(self, frame: Frame) -> None:
+        for name, count in frame.counts.items():
+            if name.startswith(SHED):
+                self.shed[name.removeprefix(SHED)] += count
+            else:
+                self.counts[name] += count
+        if len(self.shed) > 2 * MOST_SHED:
+            # Whoever sends under ever new names must not fill the memory with them.
+            self.shed = Counter(dict(self.shed.most_common(MOST_SHED)))
+
     def _figures(self, now: int) -> dict[str, float]:
         house, found = self.daemon.house, {}
         for backend in house.picture.known:
@@ -105,7 +118,7 @@
                 while True:
                     (length,) = HEAD.unpack(await process.stdout.readexactly(HEAD.size))
                     frame = DECODE.decode(await process.stdout.readexactly(length))
-                    self.counts.update(frame.counts)
+                    self._count(frame)
                     self.waiting += frame.sums
             except asyncio.IncompleteReadError:
                 self.ended += 1
@@ -124,19 +137,16 @@
         picture = self.daemon.house.picture
         figures = {name: picture.believed(name) for name in picture.known}
         found = {name: {"value": own.value, "error": own.error} for name, own in figures.items() if own is not None}
-        counts = {name: count for name, count in self.counts.items() if not name.startswith("shed of ")}
-        return {"counts": counts, "busy": found}
+        return {"counts": dict(self.counts), "busy": found}
 
     def state(self) -> dict[str, Any]:
         now, view = self.daemon.clock.now(), self.daemon.house.picture
-        shed = {name[8:]: count for name, count in self.counts.items() if name.startswith("shed of ")}
-        totals = {name: count for name, count in self.counts.items() if not name.startswith("shed of ")}
-        worst = dict(sorted(shed.items(), key=lambda item: -item[1])[:10])
         backends = {}
         for name in sorted(view.known):
             if (figures := view.figures(now, name)) is not None:
                 backends[name] = figures.plain()
         return {
-            "counts": totals | dict(view.counts), "shed_most": worst, "receivers": self.begun - self.ended,
+            "counts": dict(self.counts) | dict(view.counts), "shed_most": dict(self.shed.most_common(10)),
+            "receivers": self.begun - self.ended,
             "series": self.courses.failing if self.courses is not None else None, "backends": backends,
         }  # fmt: skip
--- a/onyxhead/intake/sampling.py
+++ b/onyxhead/intake/sampling.py
@@ -41,6 +41,7 @@
         self.chance, self.most, self.each = Random(seed), most, each
         # Senders in the order in which they were last heard, the longest unheard first.
         self.order: OrderedDict[str, None] = OrderedDict()
+        self.unheard: set[str] = set()
         self.waiting: dict[str, Waiting[Item]] = {}
         self.shed: dict[str, int] = {}
         self.refused = 0
@@ -54,7 +55,7 @@
                     self.refused += 1
                     return False
                 self.order[sender] = None
-                self.order.move_to_end(sender, last=False)
+                self.unheard.add(sender)
             waiting = self.waiting[sender] = Waiting()
         waiting.seen += 1
         if len(waiting.items) < self.each:
@@ -77,6 +78,7 @@
         gone = next((sender for sender in self.order if sender not in self.waiting), None)
         if gone is not None:
             del self.order[gone]
+            self.unheard.discard(gone)
         return gone is not None
 
     def take(self, budget: int) -> list[Taken[Item]]:
@@ -84,7 +86,7 @@
         longest unheard sender before all others, then one more of each, and so on. What is not taken is shed, since
         newer ones are on their way."""
         chosen: dict[str, list[int]] = {}
-        senders = [sender for sender in self.order if sender in self.waiting]
+        senders = self._in_turn()
         left = budget
         for depth in range(self.each):
             reached = False
@@ -109,11 +111,22 @@
                 continue
             del self.waiting[sender]
             self.order.move_to_end(sender)
+            self.unheard.discard(sender)
             self.shed[sender] = self.shed.get(sender, 0) + len(waiting.items) - len(places)
             share = waiting.seen / len(places)
             taken += [Taken(sender, waiting.items[n], waiting.arrived[n], share) for n in sorted(places)]
         return taken
 
+    def _in_turn(self) -> list[str]:
+        """Senders with something waiting, one that was never heard and one that was by turns: newcomers are heard
+        soon, and a flood of new names can't crowd out those that are known."""
+        waiting = [sender for sender in self.order if sender in self.waiting]
+        new = [sender for sender in waiting if sender in self.unheard]
+        known = [sender for sender in waiting if sender not in self.unheard]
+        both = min(len(new), len(known))
+        pairs = [sender for pair in zip(new[:both], known[:both], strict=True) for sender in pair]
+        return pairs + new[both:] + known[both:]
+
     def told_shed(self) -> dict[str, int]:
         """Bodies shed since this was last asked, by sender."""
         shed, self.shed = {sender: count for sender, count in self.shed.items() if count}, {}
