Settings that change while they are read are told, not taken together

Need: a file swapped between two includes would give settings that nobody wrote. Change: each file's mark is looked at again when all are read; tests for one rewritten, swapped and gone. Result: all three end as one plain message and nothing is taken.

--- a/onyxhead/records/files.py
+++ b/onyxhead/records/files.py
@@ -15,6 +15,7 @@
     files: list[File] = []
     done: dict[Path, None] = {}
     faults: list[Fault] = []
+    marks: dict[Path, tuple[int, int, int]] = {}
 
     def read(file: Path, asked: Place, chain: tuple[Path, ...]) -> None:
         name = file.resolve()
@@ -26,7 +27,8 @@
             return
         done[name] = None
         try:
-            if file.stat().st_size > MOST_BYTES:
+            marks[file] = _mark(file)
+            if marks[file][2] > MOST_BYTES:
                 raise OSError(f"over {MOST_BYTES} bytes")
             parsed = parse(file.read_bytes().decode(), str(file))
         except OSError as error:
@@ -41,11 +43,29 @@
                 read(file.parent / include.value, include.at, (*chain, name))
 
     read(path, Place(str(path), 1, 1), ())
+    # Files that change while others are read would be taken together as nobody ever wrote them.
+    faults += [
+        Fault(Place(str(file), 1, 1), "changed while it was read")
+        for file, mark in marks.items()
+        if _changed(file, mark)
+    ]
     if faults:
         raise Faulty(faults)
     return files
 
 
+def _mark(file: Path) -> tuple[int, int, int]:
+    status = file.stat()
+    return status.st_ino, status.st_mtime_ns, status.st_size
+
+
+def _changed(file: Path, mark: tuple[int, int, int]) -> bool:
+    try:
+        return _mark(file) != mark
+    except OSError:
+        return True
+
+
 def check(files: list[File], schema: str, definition: str) -> Found:
     """Values of the files taken together, under the definition. Raises Faulty."""
     meaning = Meaning()
--- a/tests/test_language.py
+++ b/tests/test_language.py
@@ -221,3 +221,27 @@
     written(tmp_path, 'include "b.rec"', "a.rec")
     code, told = run("check", written(tmp_path, 'include "a.rec"' + GOOD, "top.rec"))
     assert code == 2 and "top.rec:" in told and "c.rec:1:" in told
+
+
+@pytest.mark.parametrize("how", ["rewritten", "swapped", "gone"])
+def test_a_file_that_changes_while_it_is_read_is_told(tmp_path: Path, monkeypatch: pytest.MonkeyPatch, how: str) -> None:
+    import onyxhead.records.files as module
+
+    written(tmp_path, "guards: {cold_time: 16s}", "in.rec")
+    top = written(tmp_path, 'include "in.rec"' + GOOD.replace(", cold_time: 15s", ""))
+    assert run("check", top)[0] == 0
+    real = module.parse
+
+    def late(text: str, file: str) -> Any:
+        if file.endswith("in.rec"):
+            if how == "rewritten":
+                top.write_text(GOOD + "// more\n")
+            elif how == "swapped":
+                written(tmp_path, top.read_text(), "b.rec").replace(top)
+            else:
+                top.unlink()
+        return real(text, file)
+
+    monkeypatch.setattr(module, "parse", late)
+    code, told = run("check", top)
+    assert code == 2 and f"{top}:1:1: changed while it was read" in told
