--- a/onyxhead/brain.py
+++ b/onyxhead/brain.py
@@ -436,8 +436,8 @@
         self.best = max(0.995 * self.best, served)
         if sound > OVERLOADED and self.late > OVERLOADED / 2 and now >= self.rationed:
             base = min(asked, max(self.best, sum(proxy.usual for proxy in self.proxies.values())))
-            # Once is enough: what comes is told late, and a second cut answers to what the first has mended.
-            self.target = 0.8 * max(base, self.target)
+            # What comes is told late, so a further cut mostly answers to what the one before has mended.
+            self.target = max(0.7 * base, 0.8 * (self.target or base))
             self.rationed = now + self.patience
         elif self.late < OVERLOADED / 2 and self.target:
             self.target *= 1.2
