Read again: one writer of records, one reader of kept orders, no squares that nobody reads

Cause: records were written by three copies, a kept order was checked and read by two, serve and agent shared their body; report sums carried squares that nothing used, on the hot path; p50 and p99 merged the same sketches twice; the first operator's command loaded the NETCONF libraries; wait read its keys again at every look. Change: records/write.py, store._order, run_daemon, replace, daemon.facts, band; dead fields out. Behaviour as before; onyxhead config keeps its layout.

--- a/onyxhead/cli/main.py
+++ b/onyxhead/cli/main.py
@@ -9,6 +9,7 @@
 import json
 import logging
 import sys
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any, NoReturn
 
@@ -64,51 +65,53 @@
     """Assigns backends to plain proxies."""
 
 
-@main.command()
-@click.argument("settings", type=EXISTING)
-def serve(settings: Path) -> None:
-    """Run a controller."""
-    from onyxhead.controller.daemon import Daemon
+def run_daemon(settings: Path, wanted: type[Any], others: str, daemon: Callable[[Any], Any], plain: Any = ()) -> None:  # noqa: ANN401
+    """Runs one until it is ended. `plain` are the errors that name their own file."""
     from onyxhead.keys.rotate import Unusable as BadKeys
-    from onyxhead.store.store import Unusable
 
     known = read_settings(settings)
-    if not isinstance(known, load.Controller):
-        stop(FAULTY, f"{settings}:1:1: these are an agent's settings")
+    if not isinstance(known, wanted):
+        stop(FAULTY, f"{settings}:1:1: these are {others} settings")
     set_up_logs(known.log)
 
     async def run() -> None:
-        await Daemon(known).run()
+        await daemon(known).run()
 
     try:
         asyncio.run(run())
-    except (Unusable, BadKeys) as error:
+    except plain as error:
         stop(REFUSED, error)
+    except BadKeys as error:
+        stop(REFUSED, f"{settings}: {error}")
     except OSError as error:
         stop(REFUSED, f"{settings}: {error.strerror or error}")
 
 
+@main.command()
+@click.argument("settings", type=EXISTING)
+def serve(settings: Path) -> None:
+    """Run a controller."""
+    from onyxhead.controller.daemon import Daemon
+    from onyxhead.keys.rotate import Unusable as BadKeys
+    from onyxhead.store.store import Unusable
+
+    run_daemon(settings, load.Controller, "an agent's", Daemon, (Unusable, BadKeys))
+
+
 @main.command()
 @click.argument("settings", type=EXISTING)
 def agent(settings: Path) -> None:
     """Run the agent beside a proxy."""
     from onyxhead.agent.daemon import Daemon
-    from onyxhead.keys.rotate import Unusable as BadKeys
 
-    known = read_settings(settings)
-    if not isinstance(known, load.Agent):
-        stop(FAULTY, f"{settings}:1:1: these are a controller's settings")
-    set_up_logs(known.log)
+    run_daemon(settings, load.Agent, "a controller's", Daemon)
 
-    async def run() -> None:
-        await Daemon(known).run()
 
-    try:
-        asyncio.run(run())
-    except BadKeys as error:
-        stop(REFUSED, f"{settings}: {error}")
-    except OSError as error:
-        stop(REFUSED, f"{settings}: {error.strerror or error}")
+def replace(path: Path, text: str) -> None:
+    """Puts text in a file's place, whole or not at all."""
+    beside = path.with_name(f".{path.name}.new")
+    beside.write_text(text, encoding="utf-8")
+    beside.replace(path)
 
 
 @main.command()
@@ -150,9 +153,7 @@
         if made != text:
             other.append(path)
             if not only_check:
-                beside = path.with_name(f".{path.name}.new")
-                beside.write_text(made, encoding="utf-8")
-                beside.replace(path)
+                replace(path, made)
     for path in other:
         click.echo(f"{path}: {'is not laid out so' if only_check else 'laid out'}")
     if faults:
@@ -619,9 +620,10 @@
     from onyxhead.operate.fleet import states
 
     controllers, _ = members_of(fleet_file, addresses)
-    until, target = time.monotonic() + within, "/v1/operate/" + "/".join(quote(name, safe="") for name in names)
+    target = "/v1/operate/" + "/".join(quote(name, safe="") for name in names)
+    tls, until = identity_tls(identity), time.monotonic() + within
     while True:
-        told = asyncio.run(states(controllers, target, min(TIMEOUT, within), identity_tls(identity)))
+        told = asyncio.run(states(controllers, target, min(TIMEOUT, within), tls))
         silent = sorted(name for name, state in told.items() if state is None)
         left = {
             name: state for name, state in told.items()
@@ -796,9 +798,7 @@
     if any(line.directive == "syntax" for line in lines):
         stop(FAULTY, f"{file}: nothing is written, since not all of it could be read")
     if out is not None:
-        beside = out.with_name(f".{out.name}.new")
-        beside.write_text(text(routing), encoding="utf-8")
-        beside.replace(out)
+        replace(out, text(routing))
     else:
         click.echo(text(routing), nl=False)
     if strict and any(line.verdict == "not" for line in lines):
--- a/onyxhead/controller/configuration/views.py
+++ b/onyxhead/controller/configuration/views.py
@@ -9,6 +9,7 @@
 import onyxhead.interface as say
 from onyxhead.controller.configuration.tree import Tree
 from onyxhead.controller.roster import Entry, Roster
+from onyxhead.records.write import Raw
 from onyxhead.settings.load import Controller
 
 
@@ -98,46 +99,38 @@
     groups = {}
     for given in tree["group"]:
         groups[given["name"]] = {
-            "utility": _raw(given.get("utility", "1.0")), "latency_budget": _span(given["latency-budget"]),
+            "utility": Raw(given.get("utility", "1.0")), "latency_budget": _span(given["latency-budget"]),
             "expiry": _span(given["expiry"]), "repeats": given["repeats"],
             "dedup_reach": given.get("dedup-reach", "all"), "dedup_window": _span(given.get("dedup-window", 0)),
             "home_zone_only": given.get("home-zone-only", False), "prefix": prefixes.get(given["name"], "/"),
         } | ({"zones": given["zone"]} if "zone" in given else {})  # fmt: skip
     backends = {
-        each["id"]: ({"weight": _raw(each["weight"])} if "weight" in each else {})
+        each["id"]: ({"weight": Raw(each["weight"])} if "weight" in each else {})
         | ({"drained": True} if each.get("drained") else {})
         for each in tree.get("backend", ())
     }
     parts = {
         "groups": groups,
         "channel": {
-            "pace": _Raw(f"{channel.get('pace', '1000.0')}/s"), "most_waiting": channel.get("most-waiting", 2000),
+            "pace": Raw(f"{channel.get('pace', '1000.0')}/s"), "most_waiting": channel.get("most-waiting", 2000),
         },
         "guards": {
             "drain_grace": _span(guards.get("drain-grace", 20_000)),
             "unserved_limit": _span(guards.get("unserved-limit", 30_000)),
             "cold_time": _span(guards.get("cold-time", 150_000)),
-            "overload_factor": _raw(guards.get("overload-factor", "3.0")),
+            "overload_factor": Raw(guards.get("overload-factor", "3.0")),
         },
         "backends": backends,
     }  # fmt: skip
     return "".join(f"{name}: {_written(value, 0)}\n" for name, value in parts.items())
 
 
-class _Raw(str):
-    """Text that stands in a file as it is."""
-
-
-def _raw(text: str) -> _Raw:
-    return _Raw(text)
-
-
-def _span(tenths: int) -> _Raw:
-    return _Raw(f"{tenths * 100}us")
+def _span(tenths: int) -> Raw:
+    return Raw(f"{tenths * 100}us")
 
 
 def _written(value: Any, depth: int) -> str:  # noqa: ANN401
-    if isinstance(value, _Raw):
+    if isinstance(value, Raw):
         return value
     if not isinstance(value, dict):
         return json.dumps(value)
--- a/onyxhead/controller/daemon.py
+++ b/onyxhead/controller/daemon.py
@@ -20,6 +20,8 @@
 from onyxhead.controller import discovery, roster, sums, ways
 from onyxhead.controller.alliance import Alliance
 from onyxhead.controller.clock import Clock
+from onyxhead.controller.configuration import effects
+from onyxhead.controller.configuration.effects import Facts
 from onyxhead.controller.configuration.tree import Tree
 from onyxhead.controller.configuration.views import as_records, deployment, overlaid, tree_of
 from onyxhead.controller.house import House, Joining, Work
@@ -298,8 +300,7 @@
     def _as_ordered(self, read: roster.Roster) -> roster.Roster:
         """A list under what the configuration and operators say of its backends."""
         said = overlaid(read, self.tree)
-        listed = self.house.listed if hasattr(self, "house") else {}
-        places = self.follower.last.entries if hasattr(self, "follower") and self.follower.last else ()
+        listed, places = self.house.listed, self.follower.last.entries if self.follower.last else ()
         serving = {e.id: e.started for e in places if e.id in listed and listed[e.id].ready}
         entries = tuple(
             each._replace(state="draining") if held_out(self.standing, each.id, each.started, serving) else each
@@ -307,6 +308,19 @@
         )
         return said._replace(entries=entries)
 
+    def facts(self) -> Facts:
+        """What is known now of the fleet, as discovery lists it: operators' own drains are the caller's to count."""
+        now, cold = self.clock.now(), self.house.start.guards.cold_time
+        backends = tuple(
+            effects.Backend(
+                entry.id, entry.zone, entry.state == "ready",
+                not entry.started or now - self.clock.of_wall(entry.started) >= cold,
+            )
+            for entry in (self.raw.entries if self.raw else ())
+        )  # fmt: skip
+        channel = self.house.channel
+        return Facts(backends, len(self.house.joined), channel.waiting, channel.limits.head)
+
     def _operate(self, request: Request) -> Response:
         try:
             command = Command.read(request.json())
@@ -314,12 +328,10 @@
             return problem(400, str(error))
         if self.raw is None:
             return problem(503, "no list has been heard yet")
-        from onyxhead.controller.office import facts
-
         trial = self.standing.copy()
         backends = [Backend(each.id, each.zone, each.kind) for each in self.raw.entries]
         try:
-            told = trial.run(command, self.tree or tree_of(self.settings), backends, facts(self))
+            told = trial.run(command, self.tree or tree_of(self.settings), backends, self.facts())
             if not command.dry_run and not told.get("again"):
                 # On disk before it acts and before it is answered: the next life then knows the command, or never will.
                 self.store.keep(STANDING, trial.plain())
@@ -638,9 +650,7 @@
 
 def may_ask(request: Request, parts: list[str], peer: Peer | None) -> bool:
     """An agent speaks for itself only; operators and controllers may look."""
-    if parts[:2] == ["v1", "load"] and request.method == "POST":
-        return peer == Peer("agent", parts[2] if len(parts) > 2 else "")
-    if parts[:2] == ["v1", "proxies"] and request.method != "GET":
+    if parts[:2] in (["v1", "load"], ["v1", "proxies"]) and request.method != "GET":
         return peer == Peer("agent", parts[2] if len(parts) > 2 else "")
     return peer is not None and (request.method == "GET" or peer.role in ("operator", "controller"))
 
--- a/onyxhead/controller/office.py
+++ b/onyxhead/controller/office.py
@@ -10,7 +10,7 @@
 from onyxhead.controller.configuration.access import Access
 from onyxhead.controller.configuration.datastores import Commit, Datastores
 from onyxhead.controller.configuration.desk import Desk, Hands
-from onyxhead.controller.configuration.effects import Backend, Facts, Plan
+from onyxhead.controller.configuration.effects import Plan
 from onyxhead.controller.configuration.tree import Problem, Tree
 from onyxhead.controller.configuration.views import deployment, tree_of
 from onyxhead.fronts.netconf import schema
@@ -40,7 +40,7 @@
     netconf = settings.netconf
     access = Access(netconf.users if netconf else {}, netconf.rules if netconf else ())
     hands = Hands(
-        facts=lambda: facts(daemon),
+        facts=daemon.facts,
         write=lambda commit: store.committed(*commit),
         save=lambda tree: store.keep(STARTUP, tree),
         act=lambda tree, plan: act(daemon, tree, plan),
@@ -64,21 +64,6 @@
     daemon.store.audited(user, session, what, result)
 
 
-def facts(daemon: Daemon) -> Facts:
-    """What is known now of the fleet, as discovery lists it: an operator's own drains are the tree's to count."""
-    house, now = daemon.house, daemon.clock.now()
-    cold = house.start.guards.cold_time
-    raw = {entry.id: entry for entry in daemon.raw.entries} if daemon.raw else {}
-    backends = tuple(
-        Backend(
-            entry.id, entry.zone, entry.state == "ready",
-            not entry.started or now - daemon.clock.of_wall(entry.started) >= cold,
-        )
-        for entry in raw.values()
-    )  # fmt: skip
-    return Facts(backends, len(house.joined), house.channel.waiting, house.channel.limits.head)
-
-
 def act(daemon: Daemon, tree: Tree, plan: Plan) -> None:
     """Puts a tree into effect: by the list where that is enough, else by a new start of the module."""
     log.info("configuration", drains=plan.drains, restores=plan.restores, rebuild=plan.rebuild, about_s=plan.seconds)
--- a/onyxhead/controller/receiver.py
+++ b/onyxhead/controller/receiver.py
@@ -21,7 +21,7 @@
 from onyxhead.http.messages import Request, Response, answer, problem
 from onyxhead.http.server import Server
 from onyxhead.intake.picture import Decoder, Sums
-from onyxhead.keys.rotate import Keys, Unusable, peer_of
+from onyxhead.keys.rotate import Keys, Peer, Unusable, peer_of
 from onyxhead.settings.load import Tls
 
 HEAD = struct.Struct(">I")
@@ -53,7 +53,7 @@
             return problem(404, "nothing here")
         if self.keys is not None:
             peer = peer_of(writer.get_extra_info("peercert"))
-            if peer is None or peer.role != "agent" or peer.name != parts[2]:
+            if peer != Peer("agent", parts[2]):
                 return problem(403, "this certificate may not report that")
         return self.take(parts[2], request.body)
 
--- a/onyxhead/intake/estimate.py
+++ b/onyxhead/intake/estimate.py
@@ -28,13 +28,12 @@
 class Level:
     """A level that moves: a weighted mean with a half-life, which forgets what was before a change."""
 
-    __slots__ = ("at", "change", "changed", "half", "mean", "spread", "squares", "whole")
+    __slots__ = ("at", "change", "half", "mean", "spread", "squares", "whole")
 
     def __init__(self, half: int, figures: float = 2_000.0) -> None:
         self.half, self.change = half, Change(figures)
         self.whole = self.squares = self.mean = self.spread = 0.0
         self.at = 0
-        self.changed: int | None = None
 
     def add(self, now: int, value: float, share: float = 1.0, fresh: bool = True) -> int:
         """Takes one sample that counts `share`; 1 or -1 where it shows a change, which only a fresh one can."""
@@ -46,7 +45,6 @@
             self.whole = self.squares = self.mean = self.spread = 0.0
             for each in kept[:-1]:
                 self._count(each, share)
-            self.changed = now
         self._count(value, share)
         return sign
 
@@ -118,9 +116,6 @@
                 del self.parts[old]
         self.parts[place].add(max(value, 1e-6), stands_for)
 
-    def forget(self) -> None:
-        self.parts.clear()
-
     def merged(self, now: int) -> DDSketch | None:
         live = [part for place, part in self.parts.items() if place > now // self.span - self.spans]
         if not live:
@@ -131,17 +126,20 @@
         return whole
 
     def figure(self, now: int, quantile: float) -> Figure | None:
-        """The band is that of the rank, by the binomial's spread, and the sketch's own."""
-        whole = self.merged(now)
-        if whole is None or whole.count <= 0:
-            return None
-        middle = whole.get_quantile_value(quantile)
-        off = SURE * math.sqrt(quantile * (1 - quantile) / whole.count)
-        low = whole.get_quantile_value(max(0.0, quantile - off))
-        high = whole.get_quantile_value(min(1.0, quantile + off))
-        if middle is None or low is None or high is None:
-            return None
-        return Figure(middle, max(high - middle, middle - low) + ACCURACY * middle, float(whole.count))
+        return band(self.merged(now), quantile)
+
+
+def band(whole: DDSketch | None, quantile: float) -> Figure | None:
+    """A quantile of a sketch; the band is that of the rank, by the binomial's spread, and the sketch's own."""
+    if whole is None or whole.count <= 0:
+        return None
+    middle = whole.get_quantile_value(quantile)
+    off = SURE * math.sqrt(quantile * (1 - quantile) / whole.count)
+    low = whole.get_quantile_value(max(0.0, quantile - off))
+    high = whole.get_quantile_value(min(1.0, quantile + off))
+    if middle is None or low is None or high is None:
+        return None
+    return Figure(middle, max(high - middle, middle - low) + ACCURACY * middle, float(whole.count))
 
 
 class Trend:
@@ -149,7 +147,6 @@
 
     __slots__ = ("at", "level", "seen", "slope")
 
-    SMOOTH = 0.5
     SLOPE = 0.2
 
     def __init__(self, half: int) -> None:
--- a/onyxhead/intake/picture.py
+++ b/onyxhead/intake/picture.py
@@ -11,7 +11,7 @@
 from typing import Any, NamedTuple
 
 from onyxhead.intake.aging import Ages, weight
-from onyxhead.intake.estimate import Figure, Level, Quantiles, Share, Trend
+from onyxhead.intake.estimate import Figure, Level, Quantiles, Share, Trend, band
 from onyxhead.intake.report import Envelope, Odd, read
 from onyxhead.intake.sampling import Sampler
 from onyxhead.intake.truth import Belief, Heard, Truth
@@ -29,16 +29,16 @@
 
 class Sums(NamedTuple):
     """What one worker made of reports of one life of one backend, in one go: sums that add up in any order. `at` is the
-    newest measuring by the receiver's clock. `rest` of a figure is the sum of its squares."""
+    newest measuring by the receiver's clock; each figure is what its reports count, and their weighted sum."""
 
     backend: str
     boot: str
     at: int
     reports: float
-    busy: tuple[float, float, float]
-    queue: tuple[float, float, float]
-    rate: tuple[float, float, float]
-    errors: tuple[float, float, float]
+    busy: tuple[float, float]
+    queue: tuple[float, float]
+    rate: tuple[float, float]
+    errors: tuple[float, float]
     latencies: tuple[tuple[float, float], ...]
 
 
@@ -55,14 +55,13 @@
     """One life of one backend."""
 
     def __init__(self, boot: str, now: int) -> None:
-        self.boot, self.first, self.heard_at = boot, now, now
+        self.boot, self.heard_at = boot, now
         self.busy, self.queue, self.rate = Level(HALF), Level(HALF), Level(HALF)
         self.errors = Level(HALF)
         self.latency = Quantiles(2 * SECOND)
         self.loss = Share(2 * SECOND)
         self.met_rate = Trend(SECOND)
         self.met_mean = Level(SECOND)
-        self.tries = 0
         self.time = 0.0
         self.good = 0
         self.belief = Belief(1.0, None, None, "")
@@ -104,7 +103,7 @@
 
     def add(self, told: Iterable[Envelope], off: int, stands: float, now: int) -> int:
         """Takes reports whose sender's clock is `off` behind the receiver's, tenths of a millisecond. Returns how
-        many were measured before `oldest` and left out."""
+        many were too old and left out."""
         rows, row, last, late = self.rows, [], ("", ""), 0
         oldest = now - TOO_OLD
         for each in told:
@@ -116,7 +115,7 @@
             if key != last:
                 last = key
                 if (row := rows.get(key, [])) == []:
-                    row = rows[key] = [at, *([0.0] * 13), []]
+                    row = rows[key] = [at, *([0.0] * 9), []]
             if at > row[0]:
                 row[0] = at
             row[1] += stands
@@ -130,30 +129,26 @@
                 value = 1.0 if value > 1.0 else value
                 row[2] += share
                 row[3] += share * value
-                row[4] += share * value * value
             named = load.named_metrics
             value = named.queue
             if value is not None:
-                row[5] += share
-                row[6] += share * value
-                row[7] += share * value * value
+                row[4] += share
+                row[5] += share * value
             value = load.rps_fractional
             if value is not None:
-                row[8] += share
-                row[9] += share * value
-                row[10] += share * value * value
+                row[6] += share
+                row[7] += share * value
             value = load.eps
             if value is not None:
-                row[11] += share
-                row[12] += share * value
-                row[13] += share * value * value
+                row[8] += share
+                row[9] += share * value
             if named.latency_ms is not None:
-                row[14].append((named.latency_ms, share))
+                row[10].append((named.latency_ms, share))
         return late
 
     def sums(self) -> list[Sums]:
         return [
-            Sums(*key, r[0], r[1], tuple(r[2:5]), tuple(r[5:8]), tuple(r[8:11]), tuple(r[11:14]), _thinned(r[14]))
+            Sums(*key, r[0], r[1], tuple(r[2:4]), tuple(r[4:6]), tuple(r[6:8]), tuple(r[8:10]), _thinned(r[10]))
             for key, r in self.rows.items()
         ]  # fmt: skip
 
@@ -177,8 +172,8 @@
     return [found[key] for key in sorted(found)]
 
 
-def _plus(one: tuple[float, float, float], two: tuple[float, float, float]) -> tuple[float, float, float]:
-    return one[0] + two[0], one[1] + two[1], one[2] + two[2]
+def _plus(one: tuple[float, float], two: tuple[float, float]) -> tuple[float, float]:
+    return one[0] + two[0], one[1] + two[1]
 
 
 class Decoder:
@@ -255,7 +250,7 @@
                 continue
             known.heard_at = max(known.heard_at, min(now, each.at))
             for name in ("busy", "queue", "rate", "errors"):
-                share, whole, _ = getattr(each, name)
+                share, whole = getattr(each, name)
                 if share > 0:
                     way = getattr(known, name).add(now, whole / share, share, share > FRESH * each.reports)
                     if way:
@@ -275,7 +270,6 @@
         if way:
             self._notice(now, backend, "flows", way)
         good = tries - bad
-        known.tries += tries
         if good > 0:
             known.time += good * mean
             known.good += good
@@ -333,7 +327,7 @@
                 self.kinds[backend], busy.value if busy and fresh else None, queue.value if queue and fresh else None,
                 known.good, mean,
             )  # fmt: skip
-            known.tries, known.good, known.time = 0, 0, 0.0
+            known.good, known.time = 0, 0.0
         beliefs = self.truth.weigh(heard)
         for backend, belief in beliefs.items():
             known = self.known[backend]
@@ -368,10 +362,10 @@
         if base and mean and mean.value > 0 and said:
             speed = min(2.0, base / (1 - min(said.value, 0.95)) / mean.value)
         rate = known.rate.figure() or known.met_rate.level.figure()
+        latency = known.latency.merged(now)
         return Figures(
-            rate, busy, said, known.queue.figure(), known.loss.figure(), known.latency.figure(now, 0.5),
-            known.latency.figure(now, 0.99), known.met_rate.level.figure(), speed, belief.trust, belief.why,
-            now - known.heard_at,
+            rate, busy, said, known.queue.figure(), known.loss.figure(), band(latency, 0.5), band(latency, 0.99),
+            known.met_rate.level.figure(), speed, belief.trust, belief.why, now - known.heard_at,
         )  # fmt: skip
 
     def busy(self, now: int, backend: str) -> float | None:
--- a/onyxhead/intake/sampling.py
+++ b/onyxhead/intake/sampling.py
@@ -24,7 +24,7 @@
 
 
 class Waiting(Generic[Item]):
-    __slots__ = ("arrived", "cost", "first", "items", "seen")
+    __slots__ = ("arrived", "cost", "items", "seen")
 
     def __init__(self) -> None:
         self.items: list[Item] = []
--- a/onyxhead/routing/files.py
+++ b/onyxhead/routing/files.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import re
 from importlib import resources
 from pathlib import Path
@@ -11,6 +10,7 @@
 from onyxhead.records.files import check, gather
 from onyxhead.records.meaning import Found
 from onyxhead.records.syntax import Fault, Faulty
+from onyxhead.records.write import Raw, top
 from onyxhead.routing.model import Choice, Host, Limit, Location, Pool, Routing, Server, Split, Target, Tries
 
 TENTHS = 10_000
@@ -85,13 +85,9 @@
 # Writing
 
 
-class _Unit(str):
-    """A figure with its unit, written as it is."""
-
-
 def text(routing: Routing) -> str:
     """Records that `read` makes the same routing of; what is usual is left out."""
-    top = {
+    fields = {
         "pools": {name: _plain_pool(pool) for name, pool in routing.pools.items()},
         "hosts": [_plain_host(host) for host in routing.hosts],
         "choices": {
@@ -112,35 +108,11 @@
             for name, own in routing.splits.items()
         },
     }
-    return "".join(f"{name}: {_written(value, 0)}\n" for name, value in top.items() if value)
-
-
-def _written(value: Any, depth: int) -> str:  # noqa: ANN401
-    pad, end = "    " * (depth + 1), "    " * depth
-    if isinstance(value, _Unit):
-        return value
-    if isinstance(value, dict):
-        if not value:
-            return "{}"
-        flat = "{" + ", ".join(f"{_name(name)}: {_written(each, depth)}" for name, each in value.items()) + "}"
-        if len(flat) + len(pad) < 100 and "\n" not in flat:
-            return flat
-        rows = "".join(f"{pad}{_name(name)}: {_written(each, depth + 1)}\n" for name, each in value.items())
-        return "{\n" + rows + end + "}"
-    if isinstance(value, list):
-        flat = "[" + ", ".join(_written(each, depth) for each in value) + "]"
-        if len(flat) + len(pad) < 100 and "\n" not in flat:
-            return flat
-        return "[\n" + "".join(f"{pad}{_written(each, depth + 1)},\n" for each in value) + end + "]"
-    return json.dumps(value, ensure_ascii=False)
-
-
-def _name(name: str) -> str:
-    return name if re.fullmatch(r"[A-Za-z_][A-Za-z0-9_]*", name) else json.dumps(name, ensure_ascii=False)
+    return top({name: value for name, value in fields.items() if value})
 
 
-def _time(value: float) -> _Unit:
-    return _Unit(f"{round(value)}s" if value == round(value) else f"{value * 1000:g}ms")
+def _time(value: float) -> Raw:
+    return Raw(f"{round(value)}s" if value == round(value) else f"{value * 1000:g}ms")
 
 
 def _kept(usual: dict[str, Any], own: dict[str, Any]) -> dict[str, Any]:
@@ -190,7 +162,7 @@
         row["tries"] = {"when": list(own.tries.when), "most": own.tries.most, "within": _time(own.tries.within)}
     if own.limits:
         row["limits"] = [
-            {"key": each.key, "pace": _Unit(f"{each.rate!r}/s"), "burst": each.burst, "at_once": each.at_once}
+            {"key": each.key, "pace": Raw(f"{each.rate!r}/s"), "burst": each.burst, "at_once": each.at_once}
             for each in own.limits
         ]
     if own.within:
--- a/onyxhead/settings/load.py
+++ b/onyxhead/settings/load.py
@@ -11,6 +11,7 @@
 from onyxhead.records.files import check, gather
 from onyxhead.records.meaning import Found
 from onyxhead.records.syntax import Fault, Faulty, File, Literal
+from onyxhead.routing import files as routing
 from onyxhead.tables.view import Leaf, Malformed, address_parts
 
 Address = tuple[str, int]
@@ -188,7 +189,7 @@
     """The schema's text and the definition that files are held against."""
     names = {member.name for file in files for member in file.struct.members}
     if names & {"pools", "hosts", "choices", "splits"}:
-        return resources.files("onyxhead.routing").joinpath("schema.rec").read_text(encoding="utf-8"), "#Routing"
+        return routing.schema(), "#Routing"
     if names and names <= {"controllers", "agents"}:
         return schema(), "#Operators"
     return schema(), KINDS[kind_of(files)]
--- a/onyxhead/store/store.py
+++ b/onyxhead/store/store.py
@@ -24,6 +24,7 @@
 COMPACT_EVERY = 256
 MOST_PENDING = 10_000
 RETRY = 1.0
+ORDER = "number, at, epoch, turn, causes, decisions, digest"
 
 TABLES = """
 create table if not exists meta (name text primary key, value) strict, without rowid;
@@ -78,14 +79,7 @@
             def ask(sql: str, *values: float) -> list[tuple[Any, ...]]:
                 return db.execute(sql, values).fetchall()
 
-            orders = []
-            names = "number, at, epoch, turn, causes, decisions, digest"
-            rows = ask(f"select {names} from orders where at <= ? order by number", until)
-            for *row, digest in rows:
-                sound = None if digest is None else digest == _record(*row[1:])
-                causes, decisions = ([], []) if sound is False else (json.loads(row[4]), json.loads(row[5]))
-                told = {"number": row[0], "at": row[1], "causes": causes, "decisions": decisions}
-                orders.append(told | {"sound": sound})
+            orders = [_order(row) for row in ask(f"select {ORDER} from orders where at <= ? order by number", until)]
             lives = ask("select epoch, began, seen from lives order by epoch")
             span = "between ? and ? order by number"
             lists = ask(f"select heard, version from lists where heard {span}", since, until)
@@ -94,6 +88,17 @@
     except (sqlite3.Error, ValueError) as error:
         raise Unusable(f"{path}: {error}") from None
 
+def _order(row: tuple[Any, ...]) -> dict[str, Any]:
+    """An order as it was kept; `sound` is False where its bytes are not those that were written, and what it says is
+    left out. None: written by a program that kept no digests."""
+    *own, digest = row
+    told = dict(zip(ORDER.split(", "), own, strict=False))
+    sound = None if digest is None else digest == _record(*own[1:])
+    for key in ("causes", "decisions"):
+        told[key] = [] if sound is False else json.loads(told[key])
+    return told | {"sound": sound}
+
+
 def _record(*fields: object) -> str:
     return hashlib.blake2b(json.dumps(fields).encode(), digest_size=16).hexdigest()
 
@@ -253,18 +258,8 @@
             raise Unusable(f"{self.path}: {error}") from None
 
     def orders(self, most: int) -> list[dict[str, Any]]:
-        """The last orders, newest first; `sound` is False where a record's bytes are not those that were written, and
-        what it says is then left out. None: written by a program that kept no digests. Raises Unusable."""
-        names = ("number", "at", "epoch", "turn", "causes", "decisions")
-        rows = self._rows(f"select {', '.join(names)}, digest from orders order by number desc limit ?", most)
-        found = []
-        for *row, digest in rows:
-            each: dict[str, Any] = dict(zip(names, row, strict=True))
-            sound = None if digest is None else digest == _record(*row[1:])
-            for key in ("causes", "decisions"):
-                each[key] = [] if sound is False else json.loads(each[key])
-            found.append(each | {"sound": sound})
-        return found
+        """The last orders, newest first. Raises Unusable."""
+        return [_order(row) for row in self._rows(f"select {ORDER} from orders order by number desc limit ?", most)]
 
     def close(self) -> None:
         """Everything handed over is on disk when this returns, if the disk takes it."""
--- a/onyxhead/trial/run.py
+++ b/onyxhead/trial/run.py
@@ -14,12 +14,12 @@
 import sys
 import tempfile
 import time
-from collections.abc import Mapping
 from pathlib import Path
 from typing import Any, NamedTuple
 
 from onyxhead.http.client import ask_once
 from onyxhead.http.messages import Fault, Request
+from onyxhead.records.write import Raw, top
 from onyxhead.trial.audit import judge
 
 ZONES = ("north", "south", "east")
@@ -35,27 +35,8 @@
 PACE, MOST_WAITING = 2500, 4000
 
 
-class Unit(str):
-    """A figure with its unit, written as it is."""
-
-
-def ms(seconds: object) -> Unit:
-    return Unit(f"{float(str(seconds)) * 1000:.0f}ms")
-
-
-def written(value: object) -> str:
-    """Settings in the records' language."""
-    if isinstance(value, Unit):
-        return value
-    if isinstance(value, dict):
-        return "{" + ", ".join(f"{json.dumps(name)}: {written(each)}" for name, each in value.items()) + "}"
-    if isinstance(value, list):
-        return "[" + ", ".join(map(written, value)) + "]"
-    return json.dumps(value)
-
-
-def top(settings: Mapping[str, object]) -> str:
-    return "".join(f"{name}: {written(each)}\n" for name, each in settings.items())
+def ms(seconds: object) -> Raw:
+    return Raw(f"{float(str(seconds)) * 1000:.0f}ms")
 
 
 class Size(NamedTuple):
@@ -138,8 +119,8 @@
             "advertise": f"127.0.0.1:{push}", "files": name, "state": f"{name}-state",
             "stats": f"127.0.0.1:{flows}", "controllers": [f"127.0.0.1:{each}" for each in reached],
             "standing": {e["id"]: {"address": e["address"], "zone": e["zone"]} for e in standing},
-            "usual": Unit(f"{self.size.rate / self.size.proxies:.1f}/s"),
-            "silence": Unit("2s"), "redial": Unit("150ms"),
+            "usual": Raw(f"{self.size.rate / self.size.proxies:.1f}/s"),
+            "silence": Raw("2s"), "redial": Raw("150ms"),
             "groups": {g["name"]: {"prefix": g["prefix"], "latency_budget": ms(g["budget"])} for g in GROUPS},
         }  # fmt: skip
         self.folder.joinpath(f"{name}.rec").write_text(top(settings))
@@ -154,7 +135,7 @@
         }  # fmt: skip
         fellows = {
             other: {
-                "zone": own, "pace": Unit(f"{PACE}/s"),
+                "zone": own, "pace": Raw(f"{PACE}/s"),
                 "address": f"127.0.0.1:{target if other == name else self.link(name, other, zone, own, target)}",
             }
             for other, (own, target) in self.controllers.items()
@@ -167,7 +148,7 @@
             "state": f"{name}-state", "seed": self.seed % 1000, "controllers": self.size.controllers,
             "proxies": self.size.proxies, "groups": groups, "tries": {"usual": 1},
             "channel": {
-                "pace": Unit(f"{PACE}/s"), "most_waiting": MOST_WAITING, "transit": ms(0.01),
+                "pace": Raw(f"{PACE}/s"), "most_waiting": MOST_WAITING, "transit": ms(0.01),
                 "slowest_transit": ms(0.1),
             },
             "guards": {
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -454,7 +454,7 @@
     assert figures is not None and figures.met is not None and figures.met.value == pytest.approx(100, abs=1)
     assert figures.loss is not None and abs(figures.loss.value - 0.1) <= figures.loss.error
     assert any(notice.what == "demand" and notice.where == "p1/read" and notice.way == 1 for notice in view.told_notices())
-    view.absorb(START + 40 * SECOND, [Sums("b1", "7", START + 40 * SECOND, 3.0, (3.0, 1.5, 0.75), (0, 0, 0), (0, 0, 0), (0, 0, 0), ())])
+    view.absorb(START + 40 * SECOND, [Sums("b1", "7", START + 40 * SECOND, 3.0, (3.0, 1.5), (0, 0), (0, 0), (0, 0), ())])
     assert view.known["b1"].boot == "7" and view.figures(START + 41 * SECOND, "b1").met is not None  # type: ignore[union-attr]
     view.left("p1")
     assert not view.demand
@@ -463,7 +463,7 @@
 @given(st.lists(st.tuples(st.sampled_from("ab"), st.integers(0, 9), st.integers(1, 50)), max_size=30), st.randoms(use_true_random=False))
 @settings(max_examples=60, deadline=None)
 def test_workers_sums_are_the_same_in_any_order_whoever_got_what(rows: list[Any], chance: Any) -> None:
-    parts = [Sums(name, "1", at, float(n), (n, n / 2, n / 4), (0, 0, 0), (n, 3.0 * n, 9.0 * n), (0, 0, 0), ((float(at), 1.0),)) for name, at, n in rows]
+    parts = [Sums(name, "1", at, float(n), (n, n / 2), (0, 0), (n, 3.0 * n), (0, 0), ((float(at), 1.0),)) for name, at, n in rows]
     shuffled = parts[:]
     chance.shuffle(shuffled)
     place = chance.randint(0, len(shuffled))
