--- a/onyxhead/brain.py
+++ b/onyxhead/brain.py
@@ -41,6 +41,7 @@
 OVERLOADED = 0.2  # when even the best quarter loses this much, less must come in
 CROWDED = 0.4  # when so many tries fail and the others are quick, fewer backends are used by each proxy
 CELLS_LAST = 30 * SECOND  # then the tables are whole again, since nothing tells that the cause has gone
+SWELL = 1.25
 LEAST_LEVEL = 0.2  # no traffic group is shut out whole
 
 
@@ -78,11 +79,13 @@
         self.trust, self.part, self.load, self.held = 1.0, 1.0, 0.0, 0.0
         self.share, self.asked = 1.0, 0.0  # of what it bears: agreed on by controllers; what would come
         self.fits: dict[int, float] = {}  # by table
+        self.takes: int | None = None  # the mean time of its answers, in its own latest word
         self.recent = Record()
         self.forget(now)
 
     def hear_load(self, load: say.Load, pulls: dict[int, float]) -> None:
         drawn = self.drawn(pulls)
+        self.takes = load.latency if load.latency is not None else self.takes
         if load.busy is not None and drawn > 0 and max(self.lines.values()) > LEAST_TRUST:
             self.load = MEMORY * self.load + load.busy
             self.held = MEMORY * self.held + drawn
@@ -147,12 +150,12 @@
         self.best = self.target = self.peak = 0.0
         self.dark: set[int] = set()
         self.reckon_gap = max(start.report_every, SECOND)
-        self.reckoned = self.rationed = self.split = self.sent = now
+        self.reckoned = self.rationed = self.pressed = self.dealt = self.split = self.sent = now
         self.probes, self.avoids = start.probes_allowed, start.avoided_after > 0
         # Half the load that fells a cold backend, for chance and late reports; less the sooner proxies avoid.
         haste = 1 + 6 / start.avoided_after if start.avoided_after else 1.0
         self.bearable = guards.overload_factor / 2 / haste
-        self.unit = self.attempts = self.failed = self.shunned = self.late = self.able = 0.0
+        self.unit = self.attempts = self.failed = self.shunned = self.late = self.slow = self.able = 0.0
         self.met = Record()
         self.pulls: dict[int, float] = {}
         self.flows: dict[int, float] = {}
@@ -314,7 +317,8 @@
         full = room < cost and self._free_at(now) > now
         if self._waiting() > self.head * len(everyone) and (full or early):
             return
-        for backend in sorted(due, key=lambda backend: (backend.shut > 0, backend.out_at)):
+        # Said again, the latest come first: a proxy that joins has most likely heard of the others before.
+        for backend in sorted(due, key=lambda b: (b.shut > 0, (b.out_at or now) * (-1 if b.shut else 1))):
             room -= len(holding[backend.id])
             if room < 0:
                 return
@@ -370,6 +374,7 @@
         self.pulls = self._pulls()
         self._foresee(now)
         self._ease(now)
+        self._press(now)
         self._set_levels(now)
         if self._due(now, self.gather):
             return  # levels and weights must not fill the channel that withdrawals wait for
@@ -434,6 +439,8 @@
     def _ration(self, now: int, sound: float, served: float) -> None:
         asked = sum(sum(proxy.rates) for proxy in self.proxies.values())
         self.best = max(0.995 * self.best, served)
+        if any(b.takes for b in self._up()):
+            return
         if sound > OVERLOADED and self.late > OVERLOADED / 2 and now >= self.rationed:
             base = min(asked, max(self.best, sum(proxy.usual for proxy in self.proxies.values())))
             # What comes is told late, so a further cut mostly answers to what the one before has mended.
@@ -442,6 +449,23 @@
         elif self.late < OVERLOADED / 2 and self.target:
             self.target *= 1.2
 
+    def _press(self, now: int) -> None:
+        """Where probes tell how long answers take, levels follow them: sums come seconds later."""
+        up = self._up()
+        told = [self._late(b.takes) for b in up if b.takes]
+        if 2 * len(told) <= len(up):
+            return
+        self.late = sum(told) / len(told)
+        if now < self.pressed:
+            return
+        self.pressed = now + PROBE_GAP
+        if self.late > OVERLOADED / 2:
+            asked = sum(sum(proxy.rates) for proxy in self.proxies.values())
+            base = max(self.best, sum(proxy.usual for proxy in self.proxies.values()))
+            self.target = max(0.7 * base, 0.8 * (self.target or base))
+        elif self.target:
+            self.target *= 1.2 if self.late > OVERLOADED / 4 else 2.0
+
     def _set_levels(self, now: int) -> None:
         asked = [sum(p.rates[group] for p in self.proxies.values()) for group in range(len(self.levels))]
         # Where no warm backends are left to spare the cold ones, or all answer late, the level has to give.
@@ -462,10 +486,10 @@
 
     def _admission(self, group: int) -> float:
         level = self.levels[group]
-        if self.throttle is say.Throttle.SHARE or level >= 1:
+        if self.throttle is say.Throttle.SHARE or self.let_in >= 1:
             return level if self.throttle is say.Throttle.SHARE else NO_LIMIT
-        rates = sorted(proxy.rates[group] for proxy in self.proxies.values())
-        left = level * sum(rates)
+        rates = sorted(SWELL * proxy.rates[group] for proxy in self.proxies.values())
+        left = level * sum(rates) / SWELL
         for place, rate in enumerate(rates):
             if rate * (len(rates) - place) >= left:
                 return left / (len(rates) - place)
@@ -474,7 +498,7 @@
 
     def _split(self, now: int, cells: int) -> None:
         """Deals proxies and backends out to cells with narrow tables of their own, by what comes to each."""
-        self.cells, self.split = cells, now
+        self.cells, self.split, self.dealt = cells, now, now
         first = self.tables[-1].number + 1
         laid = [(table, cell) for table in self.plan for cell in range(cells)]
         self.tables = [Table(first + n, t.zones, t.home, t.groups, c) for n, (t, c) in enumerate(laid)]
@@ -482,10 +506,25 @@
         for proxy in sorted(self.proxies.values(), key=lambda p: (-sum(p.rates), p.id)):
             proxy.bound, proxy.cell = False, coming.index(min(coming))
             coming[proxy.cell] += sum(proxy.rates)
-        for backend in sorted(self._up(), key=lambda b: (b.zone, b.id)):
+        for backend in sorted(self._up(), key=lambda b: (self._warmth(b, now) < 1, b.zone, b.id)):
             backend.cell = max(range(cells), key=lambda cell: coming[cell] / (held[cell] + 1))
             held[backend.cell] += backend.weight
 
+    def _deal_again(self, now: int) -> None:
+        """Moves proxies from cells whose backends fail them to others."""
+        able, coming = [1e-6] * self.cells, [0.0] * self.cells
+        for backend in self._up():
+            loss = self._loss(backend.recent) if backend.recent.tries else 0.0
+            able[backend.cell] += backend.weight * self._warmth(backend, now) * (1 - loss)
+        for proxy in self.proxies.values():
+            coming[proxy.cell] += sum(proxy.rates)
+        for proxy in sorted(self.proxies.values(), key=lambda p: (-sum(p.rates), p.id)):
+            rate, here = sum(proxy.rates), proxy.cell
+            best = min(range(self.cells), key=lambda cell: (coming[cell] + rate) / able[cell])
+            if coming[here] / able[here] > 2 * (coming[best] + rate) / able[best]:
+                coming[here], coming[best] = coming[here] - rate, coming[best] + rate
+                proxy.cell, proxy.bound, self.dealt = best, False, now
+
     def _crowd(self, now: int) -> None:
         """Where tries fail everywhere though answers are quick, backends accept too few connections."""
         up = self._up()
@@ -494,10 +533,13 @@
         left = max((b.out_at or 0 for b in self.backends.values()), default=0)
         if self.cells > 1 and (bare or left > self.split or now > self.split + CELLS_LAST):
             self._split(now, 1)
+        if self.cells > 1 and now > self.dealt + 2 * self.patience:
+            self._deal_again(now)
         quiet = max(self.split + 2 * self.patience, left + self.cold_time)
-        if self.failed > CROWDED and self.late < OVERLOADED and now > quiet:
-            width = max(1, int((1 - self.failed) ** 2 * len(up) / self.cells))
-            cells = min(len(up) // width, len(self.proxies))
+        if self.failed > CROWDED and self.slow < OVERLOADED and now > quiet:
+            warm = sum(self._warmth(b, now) == 1 for b in up)
+            width = 1
+            cells = min(warm // width, len(self.proxies))
             if cells > self.cells:
                 self._split(now, cells)
 
@@ -564,7 +606,7 @@
         for table in self.tables:
             users = self._users(table)
             for group in table.groups:
-                wanted = round(self.levels[group], 2)
+                wanted = round(self.levels[group], 2) if self.levels[group] < 1 or self.let_in >= 1 else 0.99
                 if wanted != table.gates.get(group, 1.0):
                     if self._room(TURN_SHARE, users) < 1:
                         return
@@ -627,7 +669,9 @@
         self.attempts = (self.attempts + met.tries * SECOND / (now - self.reckoned)) / 2
         self.failed = met.bad / met.tries if met.tries else 0.0
         self.shunned = max(self.failed, 0.9 * self.shunned)  # proxies avoid what failed for some time yet
-        self.late = self._late(met.mean)
+        self.slow = self._late(met.mean)
+        if not any(b.takes for b in self._up()):
+            self.late = self.slow
         served = self.attempts * (1 - self.failed)
         self.reckoned = now
         up = self._up()
--- a/onyxhead/interface.py
+++ b/onyxhead/interface.py
@@ -97,9 +97,10 @@
 
 
 class Load(NamedTuple):
-    """A backend's own report, as far as it tells: the share of its cores in use."""
+    """A backend's own report, as far as it tells: the share of its cores in use, and the mean time of its latest answers."""
 
     busy: float | None = None
+    latency: int | None = None
 
 
 class Sight(Enum):
--- a/onyxhead/wirehost/codec.py
+++ b/onyxhead/wirehost/codec.py
@@ -32,6 +32,7 @@
 
 NS = 100_000
 """Nanoseconds in a tenth of a millisecond."""
+NS_IN_MS = 1_000_000
 
 REPEATS = {
     "pure": Repeats.RETRIABLE,
@@ -184,7 +185,8 @@
 
 def load(fields: list[str], values: tuple[float, ...]) -> Load:
     told = dict(zip(fields, values, strict=False))
-    return Load(told.get("cpu_share"))
+    latency = told.get("svc_ms")
+    return Load(told.get("cpu_share"), None if latency is None else round(latency * NS_IN_MS / NS))
 
 
 def deployment(given: dict[str, Any]) -> Deployment:
