Levels follow what probes tell; cells of one backend; slow channels gather withdrawals

Change: lateness is the median backend's own word where most tell one; levels in rates bound also groups let in whole; from a tenth late flows stay within what backends can do, at nine tenths of the usual at least; cells have one warm backend each; repeats begin with the latest; answers show whether a channel is slow. Live: latency_ms of probes and of the intake reaches the module. A change of level is heard again at once after the last (no two dozen deaf figures).

--- a/onyxhead/brain.py
+++ b/onyxhead/brain.py
@@ -41,7 +41,8 @@
 OVERLOADED = 0.2  # when even the best quarter loses this much, less must come in
 CROWDED = 0.4  # when so many tries fail and the others are quick, fewer backends are used by each proxy
 CELLS_LAST = 30 * SECOND  # then the tables are whole again, since nothing tells that the cause has gone
-SWELL = 1.25
+SWELL = 1.25  # while levels hold, so much more may be coming than is told
+SLIGHT = 0.9  # of the usual flows, what levels leave at least while only some is late
 LEAST_LEVEL = 0.2  # no traffic group is shut out whole
 
 
@@ -145,12 +146,12 @@
         self.unanswered: list[tuple[int, int, float, int]] = []
         self.lost_after = 2 * self.transit + round(SLOWEST * self.limit * SECOND / channel.lines_per_s)
         self.spent: dict[int, float] = {}
-        self.turn, self.wake_at, self.cells = 0, -1, 1
+        self.turn, self.wake_at, self.cells, self.told = 0, -1, 1, False
         self.let_in = self.spare = 1.0
         self.best = self.target = self.peak = 0.0
         self.dark: set[int] = set()
         self.reckon_gap = max(start.report_every, SECOND)
-        self.reckoned = self.rationed = self.pressed = self.dealt = self.split = self.sent = now
+        self.reckoned = self.rationed = self.split = self.sent = self.answered = now
         self.probes, self.avoids = start.probes_allowed, start.avoided_after > 0
         # Half the load that fells a cold backend, for chance and late reports; less the sooner proxies avoid.
         haste = 1 + 6 / start.avoided_after if start.avoided_after else 1.0
@@ -216,6 +217,7 @@
         if (known := self.backends.get(backend)) is None:
             return
         known.silent = sight is say.Sight.SILENT
+        known.takes = None  # what it told before it fell silent is no longer so
         if sight is say.Sight.OUT_OF_REACH:
             known.unreached += 1
             known.look_at = now if known.unreached < UNREACHED else known.look_at
@@ -238,6 +240,7 @@
             self.proxies[proxy].applied = turn
         # The channel is in order, so an answer proves that all ordered earlier has left it.
         place = next((n for n, sent in enumerate(self.unanswered) if sent[:2] == (turn, proxy)), -1)
+        self.answered = now if place >= 0 else self.answered
         earlier = [sent for sent in self.unanswered[: max(0, place)] if sent[0] == turn]
         self.unanswered = earlier + self.unanswered[place + 1 :]
 
@@ -260,7 +263,8 @@
         yield from self._shut_out(now)
         for backend in self._up() if self.probes else ():
             if backend.look_at <= now:
-                backend.look_at = now + PROBE_GAP
+                # Only where probes tell how long answers take does a second one a gap tell more than noise.
+                backend.look_at = now + (PROBE_GAP // 2 if backend.takes else PROBE_GAP)
                 yield say.Probe(backend.id)
         if now >= max(self.turned + SECOND, self.looked + BEAT):
             self.looked = now
@@ -314,7 +318,9 @@
         holding = {backend.id: self._holding(backend, everyone) for backend in due}
         early = now - min(b.out_at or now for b in due) < self.gather
         cost = sum(map(len, holding.values()))
-        full = room < cost and self._free_at(now) > now
+        # A slow channel is not free when it should be: sent singly, withdrawals would be nearly all heads.
+        slow = now < self.answered + 2 * self.transit and room < self.head * len(everyone)
+        full = room < cost and (slow or self._free_at(now) > now)
         if self._waiting() > self.head * len(everyone) and (full or early):
             return
         # Said again, the latest come first: a proxy that joins has most likely heard of the others before.
@@ -383,8 +389,10 @@
         bound = [proxy for proxy in self.proxies.values() if proxy.bound]
         users = {table.number: self._users(table) for table in self.tables}
         room = self._room(TURN_SHARE, bound) * len(bound)
-        # Many small messages would be mostly heads; but one that reached nobody is never answered.
-        if self._waiting() > TURN_SHARE * self.limit / 4 and now < self.sent + 2 * self.transit + SECOND:
+        # Many small messages would be mostly heads, and a slow channel must keep room for what cannot wait;
+        # but one that reached nobody is never answered.
+        last = max(self.sent, self.answered)
+        if self._waiting() > TURN_SHARE * self.limit / 4 and now < last + 2 * self.transit + SECOND:
             return
         chosen: dict[int, list[tuple[str, float]]] = {}
         for backend, lines in self._changes(now, len(bound) < len(self.proxies)):
@@ -439,47 +447,55 @@
     def _ration(self, now: int, sound: float, served: float) -> None:
         asked = sum(sum(proxy.rates) for proxy in self.proxies.values())
         self.best = max(0.995 * self.best, served)
-        if any(b.takes for b in self._up()):
+        if self.told:
             return
         if sound > OVERLOADED and self.late > OVERLOADED / 2 and now >= self.rationed:
-            base = min(asked, max(self.best, sum(proxy.usual for proxy in self.proxies.values())))
-            # What comes is told late, so a further cut mostly answers to what the one before has mended.
-            self.target = max(0.7 * base, 0.8 * (self.target or base))
+            self._cut(min(asked, self._usual()))
             self.rationed = now + self.patience
         elif self.late < OVERLOADED / 2 and self.target:
             self.target *= 1.2
 
     def _press(self, now: int) -> None:
-        """Where probes tell how long answers take, levels follow them: sums come seconds later."""
-        up = self._up()
-        told = [self._late(b.takes) for b in up if b.takes]
-        if 2 * len(told) <= len(up):
+        """Where probes tell how long answers take, levels follow them: in a burst, sums come too late."""
+        told = sorted(self._late(b.takes) for b in self._up() if b.takes)
+        self.told = 2 * len(told) > len(self._up())
+        if not self.told:
             return
-        self.late = sum(told) / len(told)
-        if now < self.pressed:
+        # Not the mean: a few slow backends are no reason to refuse flows that the others could serve. Where
+        # queues are short, what is turned away shows in the sums alone.
+        self.late = max(told[len(told) // 2], self.slow if self.failed > OVERLOADED else 0.0)
+        if now < self.rationed:
             return
-        self.pressed = now + PROBE_GAP
-        if self.late > OVERLOADED / 2:
-            asked = sum(sum(proxy.rates) for proxy in self.proxies.values())
-            base = max(self.best, sum(proxy.usual for proxy in self.proxies.values()))
-            self.target = max(0.7 * base, 0.8 * (self.target or base))
-        elif self.target:
-            self.target *= 1.2 if self.late > OVERLOADED / 4 else 2.0
+        self.rationed = now + SECOND
+        if self.late > OVERLOADED / 4:
+            self._cut(self._usual())
+        else:
+            self.target *= 2
+
+    def _usual(self) -> float:
+        return max(self.best, sum(proxy.usual for proxy in self.proxies.values()))
+
+    def _cut(self, base: float) -> None:
+        # What comes is told late, so a further cut mostly answers to what the one before has mended.
+        self.target = max(0.7 * base, 0.8 * (self.target or base))
 
     def _set_levels(self, now: int) -> None:
         asked = [sum(p.rates[group] for p in self.proxies.values()) for group in range(len(self.levels))]
         # Where no warm backends are left to spare the cold ones, or all answer late, the level has to give.
         if self.spare < 1 - OVERLOADED:
             self.target = min(self.target or math.inf, self.spare * self.let_in * sum(asked))
-        if self.late > OVERLOADED and 0 < self.able < sum(asked):
-            self.target = min(self.target or math.inf, self.able)
+        if self.late > OVERLOADED / 2 and 0 < self.able < sum(asked):
+            # Some lateness may be a few backends' own, and what can be done is a guess: only a little less.
+            least = SLIGHT * sum(p.usual for p in self.proxies.values()) if self.late < OVERLOADED else 0.0
+            self.target = min(self.target or math.inf, max(self.able, least))
         if self.target >= sum(asked):
             self.target = 0.0
         self.let_in = self.target / sum(asked) if self.target else 1.0
         left = self.let_in * sum(asked)
         for group in sorted(range(len(asked)), key=lambda group: (-self.budgets[group][0], group)):
             # More than its own backends can do would only shut out what others could have served.
-            most = min(left, sum(t.able for t in self.tables if group in t.groups) or left)
+            own = sum(t.able for t in self.tables if group in t.groups) or left
+            most = min(left, own if own < 0.99 * self.able else left)
             level = min(1.0, most / asked[group]) if asked[group] > 0 else 1.0
             self.levels[group] = max(LEAST_LEVEL, level) if self.let_in < 1 else 1.0
             left = max(0.0, left - level * asked[group])
@@ -488,6 +504,7 @@
         level = self.levels[group]
         if self.throttle is say.Throttle.SHARE or self.let_in >= 1:
             return level if self.throttle is say.Throttle.SHARE else NO_LIMIT
+        # A group let in whole is held to what is known of it, as a burst is told seconds late.
         rates = sorted(SWELL * proxy.rates[group] for proxy in self.proxies.values())
         left = level * sum(rates) / SWELL
         for place, rate in enumerate(rates):
@@ -498,7 +515,7 @@
 
     def _split(self, now: int, cells: int) -> None:
         """Deals proxies and backends out to cells with narrow tables of their own, by what comes to each."""
-        self.cells, self.split, self.dealt = cells, now, now
+        self.cells, self.split = cells, now
         first = self.tables[-1].number + 1
         laid = [(table, cell) for table in self.plan for cell in range(cells)]
         self.tables = [Table(first + n, t.zones, t.home, t.groups, c) for n, (t, c) in enumerate(laid)]
@@ -506,25 +523,13 @@
         for proxy in sorted(self.proxies.values(), key=lambda p: (-sum(p.rates), p.id)):
             proxy.bound, proxy.cell = False, coming.index(min(coming))
             coming[proxy.cell] += sum(proxy.rates)
-        for backend in sorted(self._up(), key=lambda b: (self._warmth(b, now) < 1, b.zone, b.id)):
-            backend.cell = max(range(cells), key=lambda cell: coming[cell] / (held[cell] + 1))
+        # Warm ones that may serve all groups first: a cell without one leaves its proxies bare.
+        wide = {b.id: sum(t.zones is None or b.zone in t.zones for t in self.plan) for b in self._up()}
+        order = [(self._warmth(b, now) < 1, -wide[b.id], b.zone, b.id) for b in self._up()]
+        for backend in (self.backends[key[-1]] for key in sorted(order)):
+            backend.cell = max(range(cells), key=lambda c: (held[c] == 0, coming[c] / (held[c] + 1)))
             held[backend.cell] += backend.weight
 
-    def _deal_again(self, now: int) -> None:
-        """Moves proxies from cells whose backends fail them to others."""
-        able, coming = [1e-6] * self.cells, [0.0] * self.cells
-        for backend in self._up():
-            loss = self._loss(backend.recent) if backend.recent.tries else 0.0
-            able[backend.cell] += backend.weight * self._warmth(backend, now) * (1 - loss)
-        for proxy in self.proxies.values():
-            coming[proxy.cell] += sum(proxy.rates)
-        for proxy in sorted(self.proxies.values(), key=lambda p: (-sum(p.rates), p.id)):
-            rate, here = sum(proxy.rates), proxy.cell
-            best = min(range(self.cells), key=lambda cell: (coming[cell] + rate) / able[cell])
-            if coming[here] / able[here] > 2 * (coming[best] + rate) / able[best]:
-                coming[here], coming[best] = coming[here] - rate, coming[best] + rate
-                proxy.cell, proxy.bound, self.dealt = best, False, now
-
     def _crowd(self, now: int) -> None:
         """Where tries fail everywhere though answers are quick, backends accept too few connections."""
         up = self._up()
@@ -533,13 +538,12 @@
         left = max((b.out_at or 0 for b in self.backends.values()), default=0)
         if self.cells > 1 and (bare or left > self.split or now > self.split + CELLS_LAST):
             self._split(now, 1)
-        if self.cells > 1 and now > self.dealt + 2 * self.patience:
-            self._deal_again(now)
         quiet = max(self.split + 2 * self.patience, left + self.cold_time)
         if self.failed > CROWDED and self.slow < OVERLOADED and now > quiet:
-            warm = sum(self._warmth(b, now) == 1 for b in up)
-            width = 1
-            cells = min(warm // width, len(self.proxies))
+            # Connections are few, and each split costs all tables again: one backend a cell at once.
+            # But each cell needs a warm one for each table.
+            warm = [sum(t.takes(b) and self._warmth(b, now) == 1 for b in up) for t in self.plan]
+            cells = min(*warm, len(self.proxies))
             if cells > self.cells:
                 self._split(now, cells)
 
@@ -606,7 +610,7 @@
         for table in self.tables:
             users = self._users(table)
             for group in table.groups:
-                wanted = round(self.levels[group], 2) if self.levels[group] < 1 or self.let_in >= 1 else 0.99
+                wanted = round(min(self.levels[group], 1.0 if self.let_in >= 1 else 0.99), 2)
                 if wanted != table.gates.get(group, 1.0):
                     if self._room(TURN_SHARE, users) < 1:
                         return
@@ -670,8 +674,7 @@
         self.failed = met.bad / met.tries if met.tries else 0.0
         self.shunned = max(self.failed, 0.9 * self.shunned)  # proxies avoid what failed for some time yet
         self.slow = self._late(met.mean)
-        if not any(b.takes for b in self._up()):
-            self.late = self.slow
+        self.late = self.late if self.told else self.slow
         served = self.attempts * (1 - self.failed)
         self.reckoned = now
         up = self._up()
--- a/onyxhead/controller/daemon.py
+++ b/onyxhead/controller/daemon.py
@@ -246,8 +246,8 @@
 
     async def _probe(self, backend: str, address: str) -> None:
         async with self.probing:
-            sight, busy = await look(address, self.settings.probes.path, self.settings.probes.timeout)
-        self.house.probed(self.clock.now(), backend, sight, busy)
+            sight, load = await look(address, self.settings.probes.path, self.settings.probes.timeout)
+        self.house.probed(self.clock.now(), backend, sight, load)
         self.stir.set()
 
     # Discovery
--- a/onyxhead/controller/house.py
+++ b/onyxhead/controller/house.py
@@ -222,8 +222,8 @@
             self.canary.count(name, sum(each.tries for each in met), sum(each.bad for each in met))
         return True
 
-    def probed(self, now: int, backend: str, sight: say.Sight, busy: float | None) -> None:
-        self.brain.learn_probe(now, backend, sight, say.Load(busy))
+    def probed(self, now: int, backend: str, sight: say.Sight, load: say.Load) -> None:
+        self.brain.learn_probe(now, backend, sight, load)
 
     def shared(self, now: int, budget: Budget) -> list[Loan]:
         """Rule 4's budget among controllers: tells it what is cold here, lends, and tells the module its shares. Raises
@@ -249,6 +249,8 @@
                 # A word that agrees with what proxies met, and is young, tells more than the last answer's header.
                 if (busy := self.picture.busy(now, backend)) is not None:
                     load = load._replace(busy=busy)
+                if (latency := self.picture.latency(now, backend)) is not None:
+                    load = load._replace(latency=latency)
                 self.brain.learn_tries(now, backend, zone, own.tries, own.bad, mean, span, load)
             for proxy, group, came, span in flows:
                 if span > 0 and proxy in self.joined:
--- a/onyxhead/controller/probe.py
+++ b/onyxhead/controller/probe.py
@@ -8,23 +8,27 @@
 
 from onyxhead.http.client import ask_once
 from onyxhead.http.messages import Fault, Request
-from onyxhead.interface import Sight
+from onyxhead.interface import Load, Sight
 from onyxhead.tables.view import address_parts
 
 LOAD_REPORT = "endpoint-load-metrics"
 """The header of a published load report (ORCA), as JSON or as text."""
 
 
-async def look(address: str, path: str, timeout: float) -> tuple[Sight, float | None]:
-    """What a health request met, and the busy share that the backend told, if any."""
+MOST_LATENCY_MS = 600_000.0
+
+
+async def look(address: str, path: str, timeout: float) -> tuple[Sight, Load]:
+    """What a health request met, and what the backend told of its load."""
     try:
         response = await ask_once(address_parts(address), Request("GET", path), timeout)
     except TimeoutError:
-        return Sight.SILENT, None
+        return Sight.SILENT, Load()
     except (OSError, Fault):
-        return Sight.OUT_OF_REACH, None
+        return Sight.OUT_OF_REACH, Load()
     sight = Sight.SERVED if 200 <= response.status < 300 else Sight.NO_ROOM
-    return sight, busy_share(load_report(response.headers))
+    report = load_report(response.headers)
+    return sight, Load(busy_share(report), latency(report))
 
 
 def load_report(headers: Mapping[str, str]) -> dict[str, float]:
@@ -55,3 +59,10 @@
     """The share of its cores that a backend says are in use; None if it does not say, or says what can't be."""
     busy = report.get("cpu_utilization")
     return min(1.0, busy) if busy is not None and 0 <= busy <= 1.5 else None
+
+
+def latency(report: Mapping[str, float]) -> int | None:
+    """How long its answers took lately, in tenths of a millisecond, from the report's `latency_ms`; None if it does not
+    say, or says what can't be."""
+    told = report.get("latency_ms")
+    return max(1, round(told * 10)) if told is not None and 0 < told <= MOST_LATENCY_MS else None
--- a/onyxhead/intake/change.py
+++ b/onyxhead/intake/change.py
@@ -19,6 +19,8 @@
 """One figure further out than this says no more: an outlier is not a change."""
 SLOW = 1 / 64
 RECENT = 5
+KEPT = 3
+"""Of the last figures, those from which a level is learnt anew: they showed the change."""
 
 
 @lru_cache(maxsize=64)
@@ -39,29 +41,36 @@
 class Change:
     """One series. `figures`: false alarms come once in so many figures of noise, both sides together."""
 
-    __slots__ = ("bound", "count", "down", "level", "recent", "spread", "up")
+    __slots__ = ("bound", "calm", "count", "down", "known", "level", "recent", "spread", "up")
 
     def __init__(self, figures: float = 2_000.0) -> None:
         # A level learnt from few figures is itself off, which noise then shows as change; so the bound is put higher.
         self.bound = threshold(4 * figures)
         self.recent: deque[float] = deque(maxlen=RECENT)
-        self.level = self.spread = 0.0
-        self.count = 0
+        self.level = self.spread = self.calm = 0.0
+        self.count, self.known = 0, False
         self.up = self.down = 0.0
 
     def add(self, figure: float) -> int:
         """1 or -1 where the level has risen or fallen, else 0. After an alarm the level is learnt anew, from the
-        last."""
+        last; the spread stands, since a level that moved is as noisy as before, and a second change may follow soon."""
         self.recent.append(figure)
         self.count += 1
-        if self.count <= LEARNT:
+        if not self.known:
             self._learn(figure, 1 / self.count)
+            self.known, self.calm = self.count >= LEARNT, self.spread
             return 0
         sd = max(math.sqrt(self.spread), 1e-3 * abs(self.level), 1e-9)
-        z = max(-CLIP, min(CLIP, (figure - self.level) / sd))
+        # A level known from few figures is off by itself, as much as their mean is.
+        z = max(-CLIP, min(CLIP, (figure - self.level) / sd / math.sqrt(1 + 1 / self.count)))
         self.up = max(0.0, self.up + z - ALLOWANCE)
         self.down = max(0.0, self.down - z - ALLOWANCE)
-        self._learn(self.level + z * sd, SLOW)
+        off = z * sd
+        share = max(SLOW, 1 / (self.count + 1))
+        self.level += share * off
+        self.spread = (1 - SLOW) * (self.spread + SLOW * off * off)
+        if max(self.up, self.down) <= CLIP:
+            self.calm = self.spread
         if max(self.up, self.down) < self.bound:
             return 0
         sign = 1 if self.up > self.down else -1
@@ -69,12 +78,11 @@
         return sign
 
     def restart(self) -> None:
-        recent = list(self.recent)[-3:]
-        self.level = self.spread = 0.0
-        self.count, self.up, self.down = 0, 0.0, 0.0
-        for place, figure in enumerate(recent, 1):
-            self.count = place
-            self._learn(figure, 1 / place)
+        """Learns the level anew from the last figures."""
+        recent = list(self.recent)[-KEPT:]
+        self.count, self.up, self.down = len(recent), 0.0, 0.0
+        self.level = sum(recent) / len(recent) if recent else 0.0
+        self.spread = self.calm
 
     def _learn(self, figure: float, share: float) -> None:
         off = figure - self.level
--- a/onyxhead/intake/picture.py
+++ b/onyxhead/intake/picture.py
@@ -376,6 +376,15 @@
         figure = self.believed(backend)
         return figure.value if figure else None
 
+    def latency(self, now: int, backend: str) -> int | None:
+        """How long its answers took lately by its own word, in tenths of a millisecond: the median of the last seconds.
+        None where nothing young was told, or its word counts for less than what proxies met."""
+        known = self.known.get(backend)
+        if known is None or now - known.heard_at > 5 * SECOND or known.belief.trust < 0.5:
+            return None
+        figure = known.latency.figure(now, 0.5)
+        return max(1, round(figure.value * 10)) if figure else None
+
     def told_notices(self) -> list[Notice]:
         told, self.notices = self.notices, []
         return told
--- a/onyxhead/interface.py
+++ b/onyxhead/interface.py
@@ -97,7 +97,7 @@
 
 
 class Load(NamedTuple):
-    """A backend's own report, as far as it tells: the share of its cores in use, and the mean time of its latest answers."""
+    """A backend's own report, as far as it tells: the share of its cores in use, how long its answers took lately."""
 
     busy: float | None = None
     latency: int | None = None
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -5,7 +5,7 @@
 from itertools import pairwise
 
 import onyxhead.interface as say
-from tests.rig import COLD_TIME, GRACE, SECOND, Rig, deployment, draining, gone, group, ready
+from tests.rig import COLD_TIME, GRACE, SECOND, UNSERVED, Rig, deployment, draining, gone, group, ready
 
 
 def fleet(count: int, *proxies: int, **other: object) -> Rig:
@@ -16,15 +16,16 @@
     return rig
 
 
-def report(rig: Rig, seconds: int, **bad: tuple[int, int]) -> None:
-    """Every backend answers 20 tries a second in 0.1 s, but for the (failed, mean) of those named."""
+def report(rig: Rig, seconds: int, flows: int = 10, **bad: tuple[int, int]) -> None:
+    """Every backend answers 20 tries a second in 0.1 s, but for the (failed, mean) of those named; to each proxy come so
+    many flows a second."""
     for _ in range(seconds):
         for backend, known in rig.brain.backends.items():
             if known.ready:
                 failed, mean = bad.get(backend, bad.get("all", (0, 1000)))
                 rig.met(backend, 20, failed, mean)
         for proxy in rig.muxes:
-            rig.brain.learn_intake(rig.now, proxy, 0, 10, SECOND)
+            rig.brain.learn_intake(rig.now, proxy, 0, flows, SECOND)
         rig.run(1)
 
 
@@ -342,3 +343,129 @@
     cut = [target for target in lowest if target]
     # The first cut is to four fifths; the most that was served fades by a two-hundredth a second.
     assert cut and min(cut) > 0.82 * cut[0]
+
+
+def told(rig: Rig, seconds: int, **latency: int) -> list[say.Decision]:
+    """Probes are answered; each backend tells how long its answers took, 0.1 s but for those named."""
+    made: list[say.Decision] = []
+    for _ in range(10 * seconds):
+        made += (fresh := rig.run(0.1))
+        for probe in (each for each in fresh if isinstance(each, say.Probe)):
+            takes = latency.get(probe.backend, latency.get("all", 1000))
+            sight = say.Sight.SERVED if takes else say.Sight.SILENT
+            rig.brain.learn_probe(rig.now, probe.backend, sight, say.Load(None, takes or None))
+    return made
+
+
+def test_levels_follow_what_probes_tell_before_any_sum_does() -> None:
+    # On bench days bursts were over, or had tipped the fleet, before sums that are seconds late moved a level.
+    rig = fleet(9, 1, 2, probes_allowed=True)
+    report(rig, 3, flows=90)
+    told(rig, 3, all=12_000)
+    assert rig.levels[0, 0][0] < 1 and rig.brain.slow < 0.1
+    told(rig, 4)
+    assert rig.levels[0, 0][0] == 1
+
+
+def test_some_slow_backends_lower_no_level() -> None:
+    rig = fleet(9, 1, 2, probes_allowed=True)
+    report(rig, 3, flows=90)
+    told(rig, 6, b0=30_000, b1=30_000, b2=30_000, b3=30_000)
+    assert rig.brain.let_in == 1
+
+
+def test_levels_go_back_to_sums_when_probes_fall_silent() -> None:
+    rig = fleet(9, 1, 2, probes_allowed=True)
+    report(rig, 3, flows=90)
+    told(rig, 2)
+    assert rig.brain.told
+    told(rig, 3, all=0)
+    report(rig, 6, flows=90, all=(10, 12_000))
+    assert not rig.brain.told and rig.levels[0, 0][0] < 1
+
+
+def test_probes_come_twice_as_often_only_where_they_tell_how_long_answers_take() -> None:
+    telling, other = fleet(4, 1, probes_allowed=True), fleet(4, 1, probes_allowed=True)
+    probes = [sum(isinstance(made, say.Probe) for made in told(rig, 8, **kept))
+              for rig, kept in ((telling, {}), (other, {"all": 0}))]  # fmt: skip
+    assert probes[0] >= 1.4 * probes[1] > 0
+
+
+def test_a_little_lateness_takes_little_though_backends_look_full() -> None:
+    rig = fleet(8, 1, 2)
+    for _ in range(6):
+        for backend in rig.brain.backends:
+            rig.met(backend, 4, 0, 5_000, busy=1.0)
+        for proxy in rig.muxes:
+            rig.brain.learn_intake(rig.now, proxy, 0, 10, SECOND)
+        rig.run(1)
+    assert 0.1 < rig.brain.late < 0.2 and 0.85 < rig.levels[0, 0][0] < 1
+
+
+def test_a_rate_level_holds_also_groups_that_are_let_in_whole() -> None:
+    # A burst is told seconds late: what is known of the first group is no bound on what comes of it.
+    groups = (group(utility=3.0), group())
+    rig = Rig(deployment(*groups, throttle=say.Throttle.RATE), [ready(f"b{n}") for n in range(8)])
+    rig.join(1, "b0")
+    rig.join(2, "b0")
+    rig.run(1)
+    report(rig, 3)
+    report(rig, 3, all=(10, 12_000))
+    assert rig.brain.levels[0] == 1 and rig.levels[0, 0][0] < 1e6
+
+
+def test_what_is_said_again_to_those_that_join_starts_with_the_latest() -> None:
+    # On a bench day two of three controllers died in a deploy: what had left long before filled the third one's channel,
+    # while proxies went on to what had left as their own controllers died.
+    rig = fleet(40, *range(30))
+    for n in range(20):
+        rig.hear(draining(f"b{n}"))
+        rig.run(0.3)
+    rig.run(2)
+    rig.made.clear()
+    for proxy in range(30, 90):
+        rig.join(proxy, *(f"b{n}" for n in range(40)))
+    rig.run(6)
+    again = [made.backend for made in rig.made if isinstance(made, say.Shutout)]
+    assert again[:2] == ["b19", "b18"], again
+
+
+def test_no_cell_lacks_a_backend_for_a_group_that_few_may_serve() -> None:
+    start = deployment(group(), group(zones=frozenset((0,))))
+    rig = Rig(start, [ready(f"b{n}", zone=n % 3) for n in range(12)])
+    for proxy in range(12):
+        rig.join(proxy, "b0", "b3")
+    rig.run(1)
+    report(rig, 4)
+    report(rig, 12, all=(14, 1000))
+    assert 1 < rig.brain.cells <= 4
+    for table in rig.brain.tables:
+        assert any(table.takes(backend) for backend in rig.brain.backends.values()), table.number
+
+
+def test_a_cell_whose_only_backend_leaves_is_not_left_bare() -> None:
+    rig = fleet(12, *range(12))
+    report(rig, 4)
+    report(rig, 12, all=(14, 1000))
+    assert rig.brain.cells == 12
+    rig.hear(*(gone(f"b{n}") for n in range(6)))
+    bare = 0
+    for _ in range(60):
+        rig.run(0.1)
+        bare = bare + 1 if any(not mux.lines(t) for mux in rig.muxes.values() for t in mux.tables) else 0
+        assert bare < 10 * UNSERVED / SECOND
+    assert not bare
+
+
+def test_withdrawals_in_a_channel_far_slower_than_stated_gather_by_what_is_answered() -> None:
+    # On a bench day each went alone as soon as it had room, with a head for every proxy: 15 s late at the last proxy.
+    rig = fleet(40, *range(50))
+    rig.run(30)
+    rig.pace /= 6
+    rig.made.clear()
+    for wave in range(5):
+        rig.hear(*(draining(f"b{n}") for n in range(6 * wave, 6 * wave + 6)))
+        rig.run(2)
+    rig.run(38)
+    left = [n for mux in rig.muxes.values() for n in range(30) if f"b{n}" in mux.lines()]
+    assert not left, (len(left), sum(isinstance(made, say.TurnMark) for made in rig.made))
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -13,7 +13,7 @@
 from onyxhead.controller.channel import Channel, Overfull
 from onyxhead.controller.clock import Clock
 from onyxhead.controller.door import Door
-from onyxhead.controller.probe import busy_share, load_report
+from onyxhead.controller.probe import busy_share, latency, load_report
 from onyxhead.controller.roster import Follower, Roster, Unlisted, read
 from onyxhead.tables.orders import Place
 from onyxhead.tables.view import View
@@ -171,6 +171,8 @@
     assert load_report({"endpoint-load-metrics": form}) == {"cpu_utilization": 0.5, "queue": 2.0}
     assert load_report({"endpoint-load-metrics": "JSON {"}) == {} == load_report({})
     assert busy_share({"cpu_utilization": 9.0}) is None and busy_share({"cpu_utilization": 1.2}) == 1.0
+    assert latency({"latency_ms": 12.34}) == 123 and latency({"latency_ms": 0.01}) == 1
+    assert latency({}) is latency({"latency_ms": -1.0}) is latency({"latency_ms": 1e9}) is latency({"latency_ms": 0.0})
 
 
 def test_one_broken_stream_costs_no_wait_and_repeated_faults_ever_longer_ones() -> None:
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -184,6 +184,18 @@
         assert way in found and found.index(way) < 10, seed
 
 
+def test_a_second_jump_soon_after_the_first_is_found_as_soon() -> None:
+    # Once deaf for two dozen figures after each alarm, the view followed a burst's end by its half-life alone.
+    for seed in range(40):
+        chance, own = Random(seed), Change(2_000)
+        for _ in range(80):
+            own.add(chance.gauss(10, 1))
+        for level in (30, 10, 30, 10):
+            assert any(own.add(chance.gauss(level, 1)) for _ in range(5)), (seed, level)
+            for _ in range(4):
+                own.add(chance.gauss(level, 1))
+
+
 def test_one_outlier_is_no_change() -> None:
     chance, own = Random(1), Change(2_000)
     for _ in range(100):
