Small changes of level stay unsent; cold backends are held to the level to come

Change: levels within an eighth are not sent; flows to cold backends count at one and a half times the level; what avoiding may bring counts by how much fails.

--- a/onyxhead/brain.py
+++ b/onyxhead/brain.py
@@ -43,6 +43,7 @@
 CELLS_LAST = 30 * SECOND  # then the tables are whole again, since nothing tells that the cause has gone
 SWELL = 1.25  # while levels hold, so much more may be coming than is told
 SLIGHT = 0.9  # of the usual flows, what levels leave at least while only some is late
+RATTLED = 0.1  # of lately failed tries, from which proxies' avoiding counts whole against cold backends
 LEAST_LEVEL = 0.2  # no traffic group is shut out whole
 
 
@@ -154,8 +155,9 @@
         self.reckoned = self.rationed = self.split = self.sent = self.answered = now
         self.probes, self.avoids = start.probes_allowed, start.avoided_after > 0
         # Half the load that fells a cold backend, for chance and late reports; less the sooner proxies avoid.
-        haste = 1 + 6 / start.avoided_after if start.avoided_after else 1.0
-        self.bearable = guards.overload_factor / 2 / haste
+        self.haste = 6 / start.avoided_after if start.avoided_after else 0.0
+        self.half = guards.overload_factor / 2
+        self.bearable = self.half / (1 + self.haste)
         self.unit = self.attempts = self.failed = self.shunned = self.late = self.slow = self.able = 0.0
         self.met = Record()
         self.pulls: dict[int, float] = {}
@@ -420,7 +422,11 @@
             held = sum(b.lines[table.number] for b in self._up() if not b.shut)
             users = [proxy for proxy in self.proxies.values() if table.serves(proxy)]
             flows = sum(proxy.rates[g] * self.levels[g] for proxy in users for g in table.groups)
-            self.flows[table.number], pulls[table.number] = flows, flows / held if held else 0.0
+            pulls[table.number] = flows / held if held else 0.0
+            # Levels may rise before the next turn: cold backends must bear what comes then.
+            self.flows[table.number] = sum(
+                proxy.rates[g] * min(1.0, 1.5 * self.levels[g]) for proxy in users for g in table.groups
+            )
         return pulls
 
     def _changes(self, now: int, unbound: bool) -> list[tuple[Backend, dict[int, float]]]:
@@ -592,6 +598,8 @@
         wait = self.avoids and self.shunned > most and 2 * len(cold) < len(self._up())
         for backend in self._up():
             backend.part = 0.0 if wait and self._warmth(backend, now) < 1 else 1.0
+        # Where next to nothing fails nobody is avoided, and a fleet that grows needs its cold ones.
+        bearable = self.half / (1 + self.haste * min(1.0, self.shunned / RATTLED))
         for again in range(8 if cold else 0):
             shares, self.spare = {}, 1.0
             for table in self.tables:
@@ -599,7 +607,7 @@
                 shares[table.number] = self.flows[table.number] * strain / total if total else 0.0
             for backend, warmth in cold:
                 brought = sum(shares[t.number] * self._weight(backend, now, t) for t in self._taking(backend))
-                bears = self.bearable * self.unit * backend.weight * backend.trust * warmth
+                bears = bearable * self.unit * backend.weight * backend.trust * warmth
                 backend.asked = backend.asked if again else brought / bears if bears else 0.0
                 bears *= backend.share
                 if brought > bears:
@@ -611,7 +619,8 @@
             users = self._users(table)
             for group in table.groups:
                 wanted = round(min(self.levels[group], 1.0 if self.let_in >= 1 else 0.99), 2)
-                if wanted != table.gates.get(group, 1.0):
+                gate = table.gates.get(group, 1.0)  # a small change is not worth a head at every proxy
+                if wanted != gate and (max(wanted, gate) >= 1 or _differ(wanted, gate)):
                     if self._room(TURN_SHARE, users) < 1:
                         return
                     table.gates[group] = wanted
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -469,3 +469,33 @@
     rig.run(38)
     left = [n for mux in rig.muxes.values() for n in range(30) if f"b{n}" in mux.lines()]
     assert not left, (len(left), sum(isinstance(made, say.TurnMark) for made in rig.made))
+
+
+def test_small_changes_of_level_are_not_sent() -> None:
+    # On hunted days a head at every proxy each second, for a hundredth of level, held up what had left the list.
+    rig = fleet(8, *range(6))
+    report(rig, 3, flows=30)
+    report(rig, 6, flows=30, all=(10, 12_000))
+    for n in range(20):
+        report(rig, 1, flows=30 + n % 4, all=(0, 5_000))
+    sent = [made.level for made in rig.made if isinstance(made, say.Admission)]
+    assert sent and all(abs(late - soon) > 0.1 * max(late, soon) for soon, late in pairwise(sent)), sent
+
+
+def test_cold_backends_are_kept_to_what_they_bear_at_the_level_to_come() -> None:
+    rig = fleet(10, 1)
+    report(rig, 4, flows=200)
+    report(rig, 8, flows=200, all=(10, 12_000))
+    assert rig.brain.let_in < 1
+    coming = rig.brain.flows[0]
+    assert coming > 1.2 * rig.brain.levels[0] * 200
+
+
+def test_a_growing_fleet_that_fails_nothing_uses_its_cold_backends_though_proxies_avoid() -> None:
+    calm, rattled = (fleet(6, 1, avoided_after=3) for _ in range(2))
+    for rig, bad in ((calm, (0, 1000)), (rattled, (3, 1000))):
+        report(rig, 6, flows=120, all=bad)
+        rig.hear(*(ready(f"n{n}", started=rig.now) for n in range(10)))
+        report(rig, 5, flows=120, all=bad)
+    shares = [sum(rig.muxes[1].lines().get(f"n{n}", 0.0) for n in range(10)) for rig in (calm, rattled)]
+    assert shares[0] > 1.5 * shares[1]
