--- a/onyxhead/records/files.py
+++ b/onyxhead/records/files.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
+import gc
+from collections.abc import Iterator
 from pathlib import Path
 
 from onyxhead.records.meaning import Found, Meaning, Record, Scope
@@ -10,6 +13,19 @@
 MOST_BYTES = 64 * 1024 * 1024
 
 
+@contextlib.contextmanager
+def _uncollected() -> Iterator[None]:
+    """Terms live until the reading ends; the collector would walk those of a large file again and again."""
+    was = gc.isenabled()
+    gc.disable()
+    try:
+        yield
+    finally:
+        if was:
+            gc.enable()
+
+
+@_uncollected()
 def gather(path: Path) -> list[File]:
     """The file and all that it includes, each once, the including one first. Raises Faulty."""
     files: list[File] = []
@@ -66,6 +82,7 @@
         return True
 
 
+@_uncollected()
 def check(files: list[File], schema: str, definition: str) -> Found:
     """Values of the files taken together, under the definition. Raises Faulty."""
     meaning = Meaning()
