--- a/onyxhead/brain.py
+++ b/onyxhead/brain.py
@@ -469,7 +469,7 @@
             return
         # Not the mean: a few slow backends are no reason to refuse flows that the others could serve. Where
         # queues are short, what is turned away shows in the sums alone.
-        self.late = max(told[len(told) // 2], self.slow if self.failed > OVERLOADED else 0.0)
+        self.late = max(told[len(told) // 2], self.slow if self.failed > CROWDED else 0.0)
         if now < self.rationed:
             return
         self.rationed = now + SECOND
