No bound on groups let in whole where levels are shares

Cause: read again, where levels are shares of the flows the bound for groups let in whole said nothing, at a head and a line for every proxy. Change: it is sent only where levels are rates.

--- a/onyxhead/brain.py
+++ b/onyxhead/brain.py
@@ -615,10 +615,12 @@
                     backend.part *= bears / brought
 
     def _admit(self) -> Iterator[say.Decision]:
+        # In rates, a group let in whole has a bound while levels hold; as a share it has none.
+        most = 0.99 if self.let_in < 1 and self.throttle is say.Throttle.RATE else 1.0
         for table in self.tables:
             users = self._users(table)
             for group in table.groups:
-                wanted = round(min(self.levels[group], 1.0 if self.let_in >= 1 else 0.99), 2)
+                wanted = round(min(self.levels[group], most), 2)
                 gate = table.gates.get(group, 1.0)  # a small change is not worth a head at every proxy
                 if wanted != gate and (max(wanted, gate) >= 1 or _differ(wanted, gate)):
                     if self._room(TURN_SHARE, users) < 1:
