Read again: one way to the usual flows, one test of what is young enough to act on

Cause: the last read found the proxies' usual flows summed in three places of the module, and the same age check in front of the busy share and of the answer times. Change: one piece each; decisions as before.

--- a/onyxhead/brain.py
+++ b/onyxhead/brain.py
@@ -377,7 +377,7 @@
         self._crowd(now)
         self.dark = self._dark()
         self.peak = max(self.peak, sum(b.weight for b in self._up()))
-        usual = sum(proxy.usual for proxy in self.proxies.values())
+        usual = self._usual()
         self.unit = max(self.unit, usual / self.peak if self.peak else 0.0)
         self.pulls = self._pulls()
         self._foresee(now)
@@ -456,7 +456,7 @@
         if self.told:
             return
         if sound > OVERLOADED and self.late > OVERLOADED / 2 and now >= self.rationed:
-            self._cut(min(asked, self._usual()))
+            self._cut(min(asked, max(self.best, self._usual())))
             self.rationed = now + self.patience
         elif self.late < OVERLOADED / 2 and self.target:
             self.target *= 1.2
@@ -474,12 +474,12 @@
             return
         self.rationed = now + SECOND
         if self.late > OVERLOADED / 4:
-            self._cut(self._usual())
+            self._cut(max(self.best, self._usual()))
         else:
             self.target *= 2
 
     def _usual(self) -> float:
-        return max(self.best, sum(proxy.usual for proxy in self.proxies.values()))
+        return sum(proxy.usual for proxy in self.proxies.values())
 
     def _cut(self, base: float) -> None:
         # What comes is told late, so a further cut mostly answers to what the one before has mended.
@@ -492,7 +492,7 @@
             self.target = min(self.target or math.inf, self.spare * self.let_in * sum(asked))
         if self.late > OVERLOADED / 2 and 0 < self.able < sum(asked):
             # Some lateness may be a few backends' own, and what can be done is a guess: only a little less.
-            least = SLIGHT * sum(p.usual for p in self.proxies.values()) if self.late < OVERLOADED else 0.0
+            least = SLIGHT * self._usual() if self.late < OVERLOADED else 0.0
             self.target = min(self.target or math.inf, max(self.able, least))
         if self.target >= sum(asked):
             self.target = 0.0
--- a/onyxhead/intake/picture.py
+++ b/onyxhead/intake/picture.py
@@ -369,21 +369,21 @@
             known.met_rate.level.figure(), speed, belief.trust, belief.why, now - known.heard_at,
         )  # fmt: skip
 
+    def _young(self, now: int, backend: str) -> Known | None:
+        """The backend, if it was heard lately enough to act on."""
+        known = self.known.get(backend)
+        return known if known and now - known.heard_at <= 5 * SECOND else None
+
     def busy(self, now: int, backend: str) -> float | None:
         """The busy share to act on: believed, and young enough to be of use."""
-        known = self.known.get(backend)
-        if known is None or now - known.heard_at > 5 * SECOND:
-            return None
-        figure = self.believed(backend)
+        figure = self.believed(backend) if self._young(now, backend) else None
         return figure.value if figure else None
 
     def latency(self, now: int, backend: str) -> int | None:
         """How long its answers took lately by its own word, in tenths of a millisecond: the median of the last seconds.
         None where nothing young was told, or its word counts for less than what proxies met."""
-        known = self.known.get(backend)
-        if known is None or now - known.heard_at > 5 * SECOND or known.belief.trust < 0.5:
-            return None
-        figure = known.latency.figure(now, 0.5)
+        known = self._young(now, backend)
+        figure = known.latency.figure(now, 0.5) if known and known.belief.trust >= 0.5 else None
         return max(1, round(figure.value * 10)) if figure else None
 
     def told_notices(self) -> list[Notice]:
