A node on the platform's streams: RESP2, host of the module, discovery, probes

The module decides as before; onyxhead/node carries. Reading of the simulator's settings moved to settings/instance.py, shared by wirehost and the node.

--- /dev/null
+++ b/onyxhead/node/__main__.py
@@ -0,0 +1,12 @@
+"""`python -m onyxhead.node`: one controller on the platform, from the variables that it is given."""
+
+from __future__ import annotations
+
+import os
+import sys
+from functools import partial
+
+from onyxhead.node.serve import main
+
+if __name__ == "__main__":
+    sys.exit(main(dict(os.environ), partial(print, file=sys.stderr)))
--- /dev/null
+++ b/onyxhead/node/host.py
@@ -0,0 +1,286 @@
+"""Hosts the module for streams, with no I/O: what is heard becomes calls on it, what it decides one message a proxy.
+
+Nothing here decides, paces or doubts. The host keeps what the protocol makes it keep: who is joined by which stream,
+which tables each stream was told to use, and which turns it has yet to answer. Times are the module's tenths."""
+
+from __future__ import annotations
+
+import traceback
+from collections import Counter, deque
+from collections.abc import Hashable
+from dataclasses import dataclass, field
+
+import onyxhead.interface as say
+from onyxhead.brain import Brain
+from onyxhead.fronts.streams.orders import Level, Orders, Rows
+
+MOST_UNANSWERED = 256
+"""Turns of one stream that may still be answered; older answers are no longer told apart from made-up ones."""
+MOST_NAMES = 8192
+"""Backends remembered as listed once; an order or report on an older one names nothing."""
+SILENCE = 40_000
+"""Tenths in which a stream owes an answer and says nothing, before it counts as silent."""
+
+
+@dataclass
+class Joined:
+    """One proxy on one stream."""
+
+    stream: Hashable
+    zone: int
+    usual: float
+    heard: int
+    silent: bool = False
+    bound: dict[int, tuple[int, ...]] = field(default_factory=dict)  # groups by table, as this stream was told
+    turns: deque[tuple[int, int]] = field(default_factory=lambda: deque(maxlen=MOST_UNANSWERED))  # and when ordered
+
+
+@dataclass
+class Draft:
+    """What one pull tells one proxy, as it is gathered."""
+
+    out: dict[str, None] = field(default_factory=dict)
+    back: dict[str, None] = field(default_factory=dict)
+    whole: list[int] = field(default_factory=list)
+    lines: dict[int, dict[str, float]] = field(default_factory=dict)
+    levels: list[Level] = field(default_factory=list)
+
+
+@dataclass
+class Work:
+    """What there is to carry out: messages by stream, backends to look at, when to come back at the latest."""
+
+    orders: list[tuple[int, Hashable, Orders]] = field(default_factory=list)
+    probes: list[str] = field(default_factory=list)
+    remarks: list[str] = field(default_factory=list)
+    faults: list[str] = field(default_factory=list)
+    wake: int | None = None
+    subscribe: bool = False
+
+
+class Host:
+    def __init__(self, start: say.Deployment, seed: int, now: int) -> None:
+        self.start, self.brain = start, Brain(start, seed, now)
+        self.tables: dict[int, dict[str, float]] = {}
+        self.levels: dict[int, dict[tuple[int, ...], Level]] = {}
+        self.shut: dict[str, None] = {}
+        self.joined: dict[int, Joined] = {}
+        # Every backend listed since the start, as it was last; a proxy keeps shut-outs across streams, so one that is
+        # ready again may still be shut out at a proxy that missed its return.
+        self.listed: dict[str, say.Listed] = {}
+        self.returned: set[str] = set()
+        self.counts: Counter[str] = Counter()
+
+    # What is heard
+
+    def list_heard(self, now: int, news: say.News, entries: list[say.Listed]) -> None:
+        named = {entry.backend for entry in entries}
+        for entry in entries:
+            before = self.listed.pop(entry.backend, None)
+            if entry.ready and (
+                (before is None and entry.started and news is not say.News.CHANGES)
+                or (before is not None and (not before.ready or before.started != entry.started))
+            ):
+                self.returned.add(entry.backend)
+            self.listed[entry.backend] = entry
+        if news is say.News.WHOLE:
+            for name in [name for name, entry in self.listed.items() if name not in named and entry.ready]:
+                self.listed[name] = self.listed[name]._replace(ready=False, draining=False)
+        self.returned = {name for name in self.returned if self.listed[name].ready}
+        self.brain.learn_list(now, news, entries)
+        if len(self.listed) > MOST_NAMES:
+            for name in [name for name, entry in self.listed.items() if not entry.ready][: len(self.listed) // 2]:
+                del self.listed[name]
+
+    def list_refused(self, now: int) -> None:
+        self.brain.learn_list(now, say.News.REFUSED, [])
+
+    def joins(self, now: int, proxy: int, zone: int, usual: float, standing: bool, stream: Hashable) -> None:
+        """A stream of this proxy stands; an earlier one is over, whether its end was seen or not."""
+        if proxy in self.joined:
+            self.counts["replaced"] += 1
+            self._leave(now, proxy)
+        self.joined[proxy] = Joined(stream, zone, usual, now)
+        self.brain.proxy_joined(now, proxy, zone, usual, standing)
+        self.counts["joins"] += 1
+
+    def left(self, now: int, proxy: int, stream: Hashable) -> bool:
+        """The stream is over; False if another one has taken its place, and nothing changes."""
+        known = self.joined.get(proxy)
+        if known is None or known.stream != stream:
+            return False
+        self._leave(now, proxy)
+        self.counts["left"] += 1
+        return True
+
+    def _leave(self, now: int, proxy: int) -> None:
+        if not self.joined.pop(proxy).silent:
+            self.brain.proxy_left(now, proxy)
+
+    def alive(self, now: int, proxy: int, stream: Hashable) -> None:
+        """Something was heard on this stream."""
+        if (known := self.joined.get(proxy)) is None or known.stream != stream:
+            return
+        known.heard = now
+        if known.silent:
+            # It was taken as gone, and what it holds is no longer known: the module begins with it anew.
+            known.silent, known.bound = False, {}
+            known.turns.clear()
+            self.brain.proxy_joined(now, proxy, known.zone, known.usual, False)
+            self.counts["spoke again"] += 1
+
+    def applied(self, now: int, proxy: int, stream: Hashable, turn: int, took: int) -> bool:
+        """The proxy applied this turn; False if this stream was asked for no such answer."""
+        known = self.joined.get(proxy)
+        if known is None or known.stream != stream or all(turn != each for each, _ in known.turns):
+            return False
+        while known.turns.popleft()[0] != turn:
+            pass  # messages are applied in order: what was asked earlier is applied too, its answer lost or spoilt
+        self.brain.turn_applied(now, proxy, turn, took)
+        return True
+
+    def tries(
+        self, now: int, backend: str, zone: int, tries: int, bad: int, mean: int, span: int, load: say.Load
+    ) -> None:
+        self.brain.learn_tries(now, backend, zone, tries, bad, mean, span, load)
+
+    def flows(self, now: int, proxy: int, group: int, came: int, bad: int, span: int) -> None:
+        self.brain.learn_intake(now, proxy, group, came, span)
+
+    def probed(self, now: int, backend: str, sight: say.Sight, load: say.Load) -> None:
+        self.brain.learn_probe(now, backend, sight, load)
+
+    def hush(self, now: int) -> list[int]:
+        """Proxies whose streams have just fallen silent: they owe an answer, and nothing at all comes from them. The
+        platform says nothing when a machine vanishes; what waits for one must not count as waiting for good."""
+        found = [
+            proxy
+            for proxy, known in self.joined.items()
+            if not known.silent and known.turns and now - max(known.heard, known.turns[0][1]) > SILENCE
+        ]
+        for proxy in found:
+            self.joined[proxy].silent, self.joined[proxy].bound = True, {}
+            self.brain.proxy_left(now, proxy)
+            self.counts["silent"] += 1
+        return found
+
+    # What is decided
+
+    def act(self, now: int) -> Work:
+        """One pull of the module, as one message for each proxy concerned."""
+        work, drafts, turn = Work(), dict[int, Draft](), 0
+        pull = self.brain.decisions(now)
+        while True:
+            try:
+                if (decision := next(pull, None)) is None:
+                    break
+            except Exception as error:  # a fault of the module must not end the streams; what it decided still holds
+                work.faults.append(place(error))
+                break
+            match decision:
+                case say.Shutout(backend, shut):
+                    self._shut_out(backend, shut, drafts)
+                case say.TableChange(table, lines):
+                    self._change(table, lines, drafts)
+                case say.Admission(table, groups, level, tries):
+                    own = Level(groups, level, tries)
+                    self.levels.setdefault(table, {})[groups] = own
+                    for proxy in self._users(table):
+                        drafts.setdefault(proxy, Draft()).levels.append(own)
+                case say.Assignment(proxy, table, groups) if proxy in self.joined:
+                    self._bind(proxy, table, groups, drafts.setdefault(proxy, Draft()))
+                case say.TurnMark(turn, _):
+                    # Whoever the module counts a message for gets one, also where it only asks for an answer.
+                    for proxy in self.brain.spent:
+                        if proxy in self.joined:
+                            drafts.setdefault(proxy, Draft())
+                case say.Probe(backend):
+                    work.probes.append(backend)
+                case say.Wakeup(after):
+                    work.wake = after
+                case say.Subscribe():
+                    work.subscribe = True
+                case say.Remark(text):
+                    work.remarks.append(text)
+        made: dict[tuple[object, ...], Orders] = {}
+        for proxy, draft in drafts.items():
+            known = self.joined[proxy]
+            if turn:
+                known.turns.append((turn, now))
+            orders = self._orders(known, draft, turn)
+            work.orders.append((proxy, known.stream, made.setdefault(orders, orders)))
+        return work
+
+    def _users(self, table: int) -> list[int]:
+        return [proxy for proxy, known in self.joined.items() if table in known.bound]
+
+    def _shut_out(self, backend: str, shut: bool, drafts: dict[int, Draft]) -> None:
+        if shut:
+            self.shut[backend] = None
+            self.returned.discard(backend)
+        else:
+            self.shut.pop(backend, None)
+            self.returned.add(backend)
+        for proxy, known in self.joined.items():
+            # Tables that are not of this controller may hold anything.
+            holds = any(backend in self.tables.get(table, {}) for table in known.bound)
+            if not known.silent and (holds or not known.bound if shut else known.bound):
+                draft = drafts.setdefault(proxy, Draft())
+                (draft.out if shut else draft.back)[backend] = None
+
+    def _change(self, table: int, lines: tuple[tuple[str, float], ...], drafts: dict[int, Draft]) -> None:
+        held = self.tables.setdefault(table, {})
+        for backend, weight in lines:
+            held.pop(backend, None)
+            if weight > 0:
+                held[backend] = weight
+        for proxy in self._users(table):
+            drafts.setdefault(proxy, Draft()).lines.setdefault(table, {}).update(lines)
+
+    def _bind(self, proxy: int, table: int, groups: tuple[int, ...], draft: Draft) -> None:
+        known = self.joined[proxy]
+        if not draft.whole:
+            known.bound = {}
+            draft.lines.clear()
+            draft.levels.clear()
+        known.bound[table] = groups
+        draft.whole.append(table)
+        for backend in self.tables.get(table, {}):
+            if backend in self.shut:
+                draft.out[backend] = None
+            elif backend in self.returned:
+                draft.back[backend] = None
+        draft.levels += self.levels.get(table, {}).values()
+
+    def _orders(self, known: Joined, draft: Draft, turn: int) -> Orders:
+        rows = [Rows(known.bound[table], True, tuple(self.tables.get(table, {}).items())) for table in draft.whole]
+        changed = ((table, lines) for table, lines in draft.lines.items() if table not in draft.whole)
+        rows += [Rows(known.bound[table], False, tuple(lines.items())) for table, lines in changed]
+        return Orders(tuple(draft.out), tuple(draft.back), tuple(rows), tuple(draft.levels), turn)
+
+    def figures(self, now: int) -> dict[str, float]:
+        """What the module believes, for the log: read only."""
+        brain = self.brain
+        return {
+            "joined": len(self.joined),
+            "bound": sum(1 for known in self.joined.values() if known.bound),
+            "silent": sum(known.silent for known in self.joined.values()),
+            "ready": sum(entry.ready for entry in self.listed.values()),
+            "names": len(self.listed),
+            "backends": len(brain.backends),
+            "shut": len(self.shut),
+            "waiting": round(sum(sent[2] for sent in brain.unanswered)),
+            "unanswered": len(brain.unanswered),
+            "asked": round(sum(sum(proxy.rates) for proxy in brain.proxies.values()), 1),
+            "attempts": round(brain.attempts, 1),
+            "failed": round(brain.failed, 3),
+            "late": round(brain.late, 3),
+            "let_in": round(brain.let_in, 3),
+            "cells": brain.cells,
+        }
+
+
+def place(error: Exception) -> str:
+    """A fault and where it arose, on one line."""
+    frame = traceback.extract_tb(error.__traceback__)[-1]
+    return " ".join(f"{type(error).__name__}: {error} ({frame.name}, line {frame.lineno})".split())
--- /dev/null
+++ b/onyxhead/node/probes.py
@@ -0,0 +1,56 @@
+"""Looks at backends for the module: one request, one connection, one word on what was met."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from onyxhead.fronts.streams.messages import Spoilt, load_told
+from onyxhead.http.client import Connection
+from onyxhead.http.messages import Fault, Request
+from onyxhead.interface import Load, Sight
+
+AT_ONCE = 16
+TIMEOUT = 0.4
+"""Seconds from the first packet to the answer. A backend that is cut off says nothing at all, so silence counts alike
+before and after the connection stands."""
+MOST_REPORT = 4096
+
+
+async def look(address: tuple[str, int], path: str, timeout: float = TIMEOUT) -> tuple[Sight, Load]:
+    """What a look met, and what the backend told of its load."""
+    try:
+        async with asyncio.timeout(timeout):
+            async with await Connection.open(*address) as connection:
+                response = await connection.ask(Request("GET", path), MOST_REPORT)
+    except TimeoutError:
+        return Sight.SILENT, Load()
+    except (OSError, Fault):
+        return Sight.OUT_OF_REACH, Load()
+    if response.status != 200:
+        return Sight.NO_ROOM, Load()
+    try:
+        return Sight.SERVED, load_told(response.body.strip(), b"=") if path == "/load" else Load()
+    except Spoilt:
+        return Sight.SERVED, Load()
+
+
+class Probes:
+    """Runs the looks that the module orders, each backend once at a time, so many in all."""
+
+    def __init__(self, path: str, seen: Callable[[str, Sight, Load], None]) -> None:
+        self.path, self.seen = path, seen
+        self.room = asyncio.Semaphore(AT_ONCE)
+        self.running: dict[str, asyncio.Task[None]] = {}
+
+    def start(self, backend: str, address: tuple[str, int]) -> None:
+        if backend not in self.running:
+            self.running[backend] = asyncio.get_running_loop().create_task(self._look(backend, address))
+
+    async def _look(self, backend: str, address: tuple[str, int]) -> None:
+        try:
+            async with self.room:
+                sight, load = await look(address, self.path)
+        finally:
+            self.running.pop(backend, None)
+        self.seen(backend, sight, load)
--- /dev/null
+++ b/onyxhead/node/serve.py
@@ -0,0 +1,307 @@
+"""The node: sockets, clock and signals round a `Host`, which makes every step. Nothing here decides anything."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import signal
+import time
+from collections import Counter
+from functools import partial
+from pathlib import Path
+
+import onyxhead.interface as say
+from onyxhead.controller.clock import Clock
+from onyxhead.fronts.streams.messages import Known, Said, Spoilt, read
+from onyxhead.fronts.streams.orders import ALIVE, Encoder, rejected
+from onyxhead.fronts.streams.resp import Words
+from onyxhead.node import start as starting
+from onyxhead.node.discovery import Watch
+from onyxhead.node.host import Host, place
+from onyxhead.node.links import Door, Link
+from onyxhead.node.listing import Listing, Names, Unlisted, listing
+from onyxhead.node.notes import Notes
+from onyxhead.node.probes import AT_ONCE, Probes
+
+TENTHS = 10_000
+ASIDE = AT_ONCE + 16
+"""Descriptors set aside: probes, the discovery watch and its successor, the listener, the loop's own, standard ones."""
+LOOK = 0.25
+"""Seconds between looks at silent streams, and by which the loop's lag is measured."""
+FIGURES = 5.0
+IDLE = 1.0
+"""Seconds after which the module is asked again whatever it said: a fault must not put it to sleep for good."""
+
+
+class Node:
+    def __init__(self, given: starting.Start, config: Path, notes: Notes) -> None:
+        self.given, self.config, self.notes = given, config, notes
+        self.clock = Clock(time.time, time.monotonic)
+        self.loop = asyncio.get_running_loop()
+        self.host = Host(given.deployment, given.seed, self.clock.now())
+        zones = {name: place for place, name in enumerate(given.zones)}
+        self.names = Names(zones, {name: place for place, name in enumerate(given.kinds)}, self.clock.of_wall)
+        groups = {name: place for place, name in enumerate(given.groups)}
+        self.known = Known(groups, zones, given.deployment.proxies, self.host.listed)
+        self.encoder = Encoder(given.groups)
+        self.door = Door(given.sockets - ASIDE, self.heard, self.ended, rejected)
+        self.proxies: dict[int, Link] = {}
+        self.by_link: dict[int, int] = {}  # proxies by the number of their link
+        self.places: dict[str, tuple[str, int]] = {}
+        self.probes = Probes("/load" if given.reports else "/healthz", self.probed)
+        self.watch = Watch(given.discovery, self.names, self.listed, self.unheard, given.seed)
+        self.counts: Counter[str] = Counter()
+        self.refused: Counter[str] = Counter()
+        self.pulled = 0.0
+        self.waiting: asyncio.TimerHandle | None = None
+        self.waking: asyncio.TimerHandle | None = None
+        self.over = asyncio.Event()
+        self.lag = self.longest = self.busy = 0.0
+        self.watching = False
+
+    async def run(self) -> None:
+        """Serves until told to end. Raises OSError if the address can't be had."""
+        self._remember()
+        host, port = self.door.open(self.given.listen)
+        for each in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(each, self.over.set)
+        self.loop.add_signal_handler(signal.SIGHUP, self.reload)
+        self.notes.say("serving", name=self.given.name, host=host, port=port, sockets=self.given.sockets)
+        if not self.given.deployment.must_subscribe:
+            self._follow()
+        self.stir()
+        self.loop.call_later(LOOK, self._look, self.loop.time() + LOOK)
+        self.loop.call_later(FIGURES, self._figures)
+        # What was loaded stays; collections then look only at what is made in service.
+        gc.collect()
+        gc.freeze()
+        await self.over.wait()
+        self.notes.say("ending", name=self.given.name)
+        self.door.close()
+        await self.watch.stop()
+
+    def _remember(self) -> None:
+        if self.given.known is None:
+            self.notes.say("starting with no list")
+            return
+        try:
+            found = listing(self.given.known, self.names)
+        except Unlisted as error:
+            self.notes.say("the known list is not used", why=str(error))
+            return
+        self.places = found.places
+        self.host.list_heard(self.clock.now(), say.News.REMEMBERED, found.entries)
+        self.notes.say("remembered", backends=len(found.entries), revision=found.revision)
+
+    def _follow(self) -> None:
+        if not self.watching:
+            self.watching = True
+            self.watch.start()
+
+    def reload(self) -> None:
+        """Reads the configuration again and follows discovery to where it says; streams are not touched."""
+        try:
+            given = starting.read(self.config)
+        except starting.Unstartable as error:
+            self.notes.say("the new configuration is not used", why=str(error))
+            return
+        if given.listen != self.given.listen or given.deployment != self.given.deployment:
+            self.notes.say("only discovery is taken from a new configuration; the rest needs a restart")
+        moved = given.discovery != self.given.discovery
+        self.given = self.given._replace(discovery=given.discovery)
+        self.notes.say("configuration read again", discovery=":".join(map(str, given.discovery)), moved=moved)
+        if moved and self.watching:
+            self.watch.move(given.discovery)
+
+    # What is heard
+
+    def heard(self, link: Link, words: Words) -> None:
+        """One message. A fault of ours is told once a place and ends neither the stream nor the loop."""
+        try:
+            self._heard(link, words)
+        except Spoilt as error:
+            if not link.joined:
+                self.counts["rejected"] += 1
+                self.door.reject(link, str(error))
+                return
+            self.counts["spoilt"] += 1
+            self.notes.once("message refused", str(error)[:200], link=link.number)
+        except Exception as error:
+            self.counts["faults"] += 1
+            self.notes.once("fault in a message", place(error))
+
+    def _heard(self, link: Link, words: Words) -> None:
+        now, proxy = self.clock.now(), self.by_link.get(link.number)
+        if proxy is not None:
+            self.host.alive(now, proxy, link.number)
+        said, values = read(words, self.known)
+        if said is Said.ALIVE:
+            link.send(ALIVE)
+            return
+        if said is Said.JOINS and not link.joined:
+            self._join(now, link, *values)
+        elif said is Said.COLLECTS and not link.joined:
+            link.join()
+            self.notes.say("collector", zone=self.given.zones[values[0]], link=link.number)
+        elif not link.joined or said in (Said.JOINS, Said.COLLECTS):
+            raise Spoilt(f"{words[0][:32]!r} has no place {'on a joined stream' if link.joined else 'before joining'}")
+        elif said is Said.APPLIED:
+            if proxy != values[0] or not self.host.applied(now, values[0], link.number, *values[1:]):
+                raise Spoilt("an answer to a mark that was not set on this stream")
+        elif said is Said.TRIES:
+            self.host.tries(now, *values)
+        elif said is Said.FLOWS:
+            if proxy not in (None, values[0]):
+                raise Spoilt("flows of another proxy")
+            self.host.flows(now, *values)
+        self.counts[said.name.lower()] += 1
+        self.stir()
+
+    def _join(self, now: int, link: Link, proxy: int, zone: int, usual: float, standing: bool) -> None:
+        link.join()
+        old = self.proxies.pop(proxy, None)
+        self.host.joins(now, proxy, zone, usual, standing, link.number)
+        self.proxies[proxy], self.by_link[link.number] = link, proxy
+        if old is not None:
+            self.by_link.pop(old.number, None)
+            self.door.end(old, "replaced by a new stream of the same proxy")
+
+    def ended(self, link: Link, why: str) -> None:
+        proxy = self.by_link.pop(link.number, None)
+        if proxy is not None and self.proxies.get(proxy) is link:
+            del self.proxies[proxy]
+            if self.host.left(self.clock.now(), proxy, link.number):
+                self.notes.say("proxy left", proxy=proxy, why=why)
+                self.stir()
+        elif link.joined:
+            self.notes.say("connection over", link=link.number, why=why)
+
+    def listed(self, found: Listing) -> None:
+        if found.whole:
+            self.places = dict(found.places)
+        else:
+            self.places |= found.places
+            for entry in found.entries:
+                if not entry.ready and not entry.draining:
+                    self.places.pop(entry.backend, None)
+        news = say.News.WHOLE if found.whole else say.News.CHANGES
+        try:
+            self.host.list_heard(self.clock.now(), news, found.entries)
+        except Exception as error:
+            self.counts["faults"] += 1
+            self.notes.once("fault in a list", place(error))
+        self.counts["lists"] += 1
+        self.notes.say("list", revision=found.revision, whole=found.whole, entries=len(found.entries))
+        self.stir()
+
+    def unheard(self, why: str) -> None:
+        self.counts["discovery failed"] += 1
+        self.notes.once("discovery", why)
+        if self.given.deployment.must_subscribe:
+            self.host.list_refused(self.clock.now())
+            self.stir()
+
+    def probed(self, backend: str, sight: say.Sight, load: say.Load) -> None:
+        self.counts[f"probe {sight.name.lower()}"] += 1
+        try:
+            self.host.probed(self.clock.now(), backend, sight, load)
+        except Exception as error:
+            self.counts["faults"] += 1
+            self.notes.once("fault in a probe", place(error))
+        self.stir()
+
+    # What is decided
+
+    def stir(self) -> None:
+        """Has the module asked once for all that comes in until then."""
+        if self.waiting is None:
+            due = self.pulled + self.given.gap / TENTHS
+            self.waiting = self.loop.call_at(max(due, self.loop.time()), self._pull)
+
+    def _pull(self) -> None:
+        began = self.pulled = self.loop.time()
+        self.waiting = None
+        try:
+            work = self.host.act(self.clock.now())
+        except Exception as error:
+            self.counts["faults"] += 1
+            self.notes.once("fault in a pull", place(error))
+            self._wake(IDLE)
+            return
+        encoded: dict[int, bytes] = {}
+        for proxy, stream, orders in work.orders:
+            link = self.proxies.get(proxy)
+            if link is None or link.number != stream:
+                continue
+            if (message := encoded.get(id(orders))) is None:
+                message = encoded[id(orders)] = self.encoder.message(orders)
+            self.counts["messages"] += 1
+            self.counts["lines"] += orders.lines
+            link.send(message)
+        for backend in work.probes:
+            if (where := self.places.get(backend)) is not None:
+                self.probes.start(backend, where)
+        for fault in work.faults:
+            self.counts["faults"] += 1
+            self.notes.once("fault in the module", fault)
+        for text in work.remarks:
+            self.notes.say("remark", text=text)
+        if work.subscribe:
+            self._follow()
+        if work.wake is not None:
+            self._wake(work.wake / TENTHS)
+        took = self.loop.time() - began
+        self.longest, self.busy = max(self.longest, took), self.busy + took
+        self.counts["pulls"] += 1
+
+    def _wake(self, after: float) -> None:
+        if self.waking is not None:
+            self.waking.cancel()
+        self.waking = self.loop.call_later(after, self.stir)
+
+    # What is watched
+
+    def _look(self, due: float) -> None:
+        now = self.loop.time()
+        self.lag = max(self.lag, now - due)
+        self.loop.call_later(LOOK, self._look, now + LOOK)
+        if found := self.host.hush(self.clock.now()):
+            self.notes.say("streams fell silent", proxies=found)
+            self.stir()
+
+    def _figures(self) -> None:
+        self.loop.call_later(FIGURES, self._figures)
+        cpu = time.process_time()
+        self.notes.say(
+            "figures",
+            cpu_s=round(cpu, 2),
+            lag_ms=round(self.lag * 1000, 1),
+            longest_pull_ms=round(self.longest * 1000, 1),
+            pulling_share=round(self.busy / FIGURES, 3),
+            links=len(self.door.links),
+            strangers=len(self.door.strangers),
+            **self.host.figures(self.clock.now()),
+            counts=dict(self.counts),
+            door=dict(self.door.counts),
+            host=dict(self.host.counts),
+        )
+        self.lag = self.longest = self.busy = 0.0
+
+
+async def serve(given: starting.Start, config: Path, notes: Notes) -> None:
+    await Node(given, config, notes).run()
+
+
+def main(environment: dict[str, str], say_fault: partial[None]) -> int:
+    """Runs a node from its environment; returns the exit code."""
+    try:
+        given, config = starting.told(environment)
+    except starting.Unstartable as error:
+        say_fault(str(error))
+        return 2
+    try:
+        asyncio.run(serve(given, config, Notes()))
+    except OSError as error:
+        say_fault(f"listen: {':'.join(map(str, given.listen))}: {error.strerror or error}")
+        return 1
+    return 0
--- a/onyxhead/wirehost/__main__.py
+++ b/onyxhead/wirehost/__main__.py
@@ -9,15 +9,12 @@
 
 from onyxhead.brain import Brain
 from onyxhead.interface import Listed
+from onyxhead.settings.instance import NS, Unfit, deployment, load, load_fields
 from onyxhead.wirehost.codec import (
     NEWS,
-    NS,
     SIGHTS,
     WireError,
-    deployment,
     listed,
-    load,
-    load_fields,
     settings,
     split,
     whole,
@@ -101,7 +98,10 @@
         """The call that an event means, its arguments checked; run apart so that faults are told apart."""
         if name == "BEGIN":
             given = settings(values[1])
-            known = deployment(given)
+            try:
+                known = deployment(given)
+            except Unfit as error:
+                raise WireError(str(error)) from None
             self.fields[number] = load_fields(given)
             return lambda: self.instances.__setitem__(number, Brain(known, values[0], now))
         if name == "STOP":
@@ -121,7 +121,7 @@
             return lambda: brain.learn_list(now, NEWS[mode], entries)
         if name == "STATS":
             zone, age, backend, bad, mean, tries, told = values
-            report = load(self.fields[number], told)
+            report = load(dict(zip(self.fields[number], told, strict=False)))
             return lambda: brain.learn_tries(now, backend, zone, tries, bad, mean, age, report)
         if name == "INTAKE":
             proxy, group, flows, _bad, age = values
@@ -135,7 +135,7 @@
             return lambda: brain.turn_applied(now, proxy, turn, took)
         if name == "PROBED":
             backend, end, _took, told = values
-            report = load(self.fields[number], told)
+            report = load(dict(zip(self.fields[number], told, strict=False)))
             sight = SIGHTS[end]
             return lambda: sight and brain.learn_probe(now, backend, sight, report)
         # Wake-ups need no more than the pull that follows; peers and slices are told nothing and ask nothing.
--- a/onyxhead/wirehost/codec.py
+++ b/onyxhead/wirehost/codec.py
@@ -10,36 +10,20 @@
 from onyxhead.interface import (
     Admission,
     Assignment,
-    Channel,
     Decision,
-    Deployment,
-    Guards,
     Listed,
-    Load,
     News,
     Probe,
     Remark,
-    Repeats,
     Shutout,
     Sight,
     Subscribe,
     TableChange,
-    Throttle,
-    TrafficGroup,
     TurnMark,
     Wakeup,
 )
+from onyxhead.settings.instance import NS
 
-NS = 100_000
-"""Nanoseconds in a tenth of a millisecond."""
-NS_IN_MS = 1_000_000
-
-REPEATS = {
-    "pure": Repeats.RETRIABLE,
-    "token": Repeats.DEDUPED,
-    "side_effect": Repeats.NON_RETRIABLE,
-}
-THROTTLES = {"ratio": Throttle.SHARE, "rps": Throttle.RATE, "off": Throttle.OFF}
 NEWS = {
     "changes": News.CHANGES,
     "all": News.WHOLE,
@@ -179,73 +163,6 @@
     return given
 
 
-def load_fields(given: dict[str, Any]) -> list[str]:
-    return list(map(str, given["report"].get("fields") or ()))
-
-
-def load(fields: list[str], values: tuple[float, ...]) -> Load:
-    told = dict(zip(fields, values, strict=False))
-    latency = told.get("svc_ms")
-    return Load(told.get("cpu_share"), None if latency is None else round(latency * NS_IN_MS / NS))
-
-
-def deployment(given: dict[str, Any]) -> Deployment:
-    """What the module is told at its start, from the wire's settings; unknown keys are passed over."""
-    try:
-        extra, guards, allowed = given["extra"], given["guarantees"], given["bounds"]
-        own_zone = extra.get("classOwnZone") or [False] * len(given["services"])
-        groups = tuple(
-            TrafficGroup(
-                name=str(group["name"]),
-                utility=float(group["credit"]),
-                latency_budget=int(group["aimNs"]) // NS,
-                expiry=int(group["deadlineNs"]) // NS,
-                repeats=REPEATS[group["effect"]],
-                dedup_reach=str(group.get("group", "cell")),
-                dedup_window=int(group.get("repeatWindowNs", 0)) // NS,
-                zones=frozenset(map(int, group["onlyZones"])) if group.get("onlyZones") else None,
-                home_zone_only=bool(home),
-            )
-            for group, home in zip(given["services"], own_zone, strict=True)
-        )
-        return Deployment(
-            zone=int(given["zone"]),
-            zones=len(given["zones"]),
-            controllers=int(given["balancers"]),
-            proxies=int(extra["agents"]),
-            groups=groups,
-            channel=Channel(
-                lines_per_s=float(extra["egressPerS"]),
-                head=float(extra["perMessage"]),
-                most_waiting=float(extra["mostWaiting"]),
-                transit=-(-int(extra["pushDelayNs"]) // NS),
-                slowest_transit=-(-int(extra["lateMostNs"]) // NS),
-                messages_cap=int(extra.get("updateCap", 0)),
-                messages_span=-(-int(extra.get("messagesOverNs", 0)) // NS),
-            ),
-            guards=Guards(
-                unserved_limit=int(extra["unservedMaxNs"]) // NS,
-                drain_grace=int(guards["drainGraceNs"]) // NS,
-                only_draining_binds=bool(guards.get("drainBindsAlone", False)),
-                cold_share=float(guards["coldFrom"]),
-                cold_time=-(-int(guards["coldNs"]) // NS),
-                overload_factor=float(guards["overloadFactor"]),
-                fall_time=int(guards["fallNs"]) // NS,
-                refusal_may_have_run=bool(guards.get("fullMayHaveRun", False)),
-                ask_within=int(guards.get("askWithinNs", 0)) // NS,
-            ),
-            throttle=THROTTLES[extra["throttleBy"]],
-            usual_tries=int(extra["baseMode"]),
-            try_stretch=float(extra["tryFactor"]),
-            avoided_after=int(extra.get("ejects", 0)),
-            report_every=-(-int(extra["cycleNs"]) // NS),
-            probes_allowed=bool(allowed["probes"]),
-            must_subscribe=given["discovery"] == "subscribe",
-        )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise WireError(f"settings: {type(error).__name__}: {error}") from None
-
-
 def shown(value: float) -> str:
     return f"{value:.9g}" if value else "0"
 
