--- a/onyxhead/brain.py
+++ b/onyxhead/brain.py
@@ -44,7 +44,7 @@
 SWELL = 1.25  # while levels hold, so much more may be coming than is told
 SLIGHT = 0.9  # of the usual flows, what levels leave at least while only some is late
 RATTLED = 0.1  # of lately failed tries, from which proxies' avoiding counts whole against cold backends
-LOOK_TRIES = 3  # so many tries one look at a backend stands for
+LOOK_TRIES = 6  # so many tries one look at a backend stands for
 LEAST_LEVEL = 0.2  # no traffic group is shut out whole
 
 
@@ -228,11 +228,11 @@
             known.unreached = 0
             full = say.Load(busy=1.0 if known.load else None)
             known.hear_load(load if sight is say.Sight.SERVED else full, self.pulls)
-        # Where proxies are many, sums come seconds late; a look meets a long queue at once.
-        if self.told and now >= known.judged and known.zone not in self.dark:
-            if known.silent or known.takes:
-                for record in (known.since, known.recent):
-                    record.add(LOOK_TRIES, LOOK_TRIES * known.silent, known.takes or 0)
+        # Where proxies are many, sums come seconds late; a look meets a long queue at once. Where many are silent all
+        # have too much, and steps would only move it round.
+        few = 3 * sum(b.silent for b in self._up()) < len(self._up())
+        if self.told and few and now >= known.judged and (known.silent or known.takes):
+            known.since.add(LOOK_TRIES, LOOK_TRIES * known.silent, known.takes or 0)
 
     def proxy_joined(self, now: int, proxy: int, zone: int, usual: float, standing: bool) -> None:
         known = self.proxies[proxy] = Proxy(proxy, zone, usual, standing, now)
