--- a/onyxhead/brain.py
+++ b/onyxhead/brain.py
@@ -230,8 +230,9 @@
             known.hear_load(load if sight is say.Sight.SERVED else full, self.pulls)
         # Where proxies are many, sums come seconds late; a look meets a long queue at once. Where many are silent all
         # have too much, and steps would only move it round. An answered look proves little: flows may fail all the same.
-        if known.silent and now >= known.judged and 3 * sum(b.silent for b in self._up()) < len(self._up()):
-            known.since.add(LOOK_TRIES, LOOK_TRIES, 0)
+        bad = known.silent or self._late(known.takes or 0) > SOUND_EXCESS
+        if bad and now >= known.judged and 3 * sum(b.silent for b in self._up()) < len(self._up()):
+            known.since.add(LOOK_TRIES, LOOK_TRIES * known.silent, known.takes or 0)
 
     def proxy_joined(self, now: int, proxy: int, zone: int, usual: float, standing: bool) -> None:
         known = self.proxies[proxy] = Proxy(proxy, zone, usual, standing, now)
