--- a/onyxhead/brain.py
+++ b/onyxhead/brain.py
@@ -44,7 +44,7 @@
 SWELL = 1.25  # while levels hold, so much more may be coming than is told
 SLIGHT = 0.9  # of the usual flows, what levels leave at least while only some is late
 RATTLED = 0.1  # of lately failed tries, from which proxies' avoiding counts whole against cold backends
-LOOK_TRIES = 6  # so many tries one look at a backend stands for
+LOOK_TRIES = 12  # so many tries one look at a backend stands for
 LEAST_LEVEL = 0.2  # no traffic group is shut out whole
 
 
