Returned backends come back where nothing else is open; tests of the node and of looks

Seen by the generated schedules of the node's host: all eight backends had left and returned while a proxy waited for its table; the table had no line (_assign waits), and lines wait until all are bound (_changes), so nobody was served for 25 s and on. At fault: the unbound test in _take_turn.

--- a/onyxhead/brain.py
+++ b/onyxhead/brain.py
@@ -228,8 +228,8 @@
             known.unreached = 0
             full = say.Load(busy=1.0 if known.load else None)
             known.hear_load(load if sight is say.Sight.SERVED else full, self.pulls)
-        # Where proxies are many, sums come seconds late; a look meets a long queue at once. Where many are silent all
-        # have too much, and steps would only move it round. An answered look proves little: flows may fail all the same.
+        # Where proxies are many, sums come seconds late; a look meets a long queue at once. Where many are silent
+        # all have too much. A quick answer proves little: flows may fail all the same.
         bad = known.silent or self._late(known.takes or 0) > SOUND_EXCESS
         if bad and now >= known.judged and 3 * sum(b.silent for b in self._up()) < len(self._up()):
             known.since.add(LOOK_TRIES, LOOK_TRIES * known.silent, known.takes or 0)
@@ -403,7 +403,9 @@
         if self._waiting() > TURN_SHARE * self.limit / 4 and now < last + 2 * self.transit + SECOND:
             return
         chosen: dict[int, list[tuple[str, float]]] = {}
-        for backend, lines in self._changes(now, len(bound) < len(self.proxies)):
+        # Where all that is ready has returned, waiting until all are bound would leave them bare for good.
+        served = all(any(t.takes(b) and b.lines[t.number] and not b.shut for b in self._up()) for t in self.tables)
+        for backend, lines in self._changes(now, served and len(bound) < len(self.proxies)):
             back = backend.shut and backend.ready
             room -= sum(len(users[number]) for number in lines) + len(bound) * (back > 0)
             if room < 0:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -499,3 +499,47 @@
         report(rig, 5, flows=120, all=bad)
     shares = [sum(rig.muxes[1].lines().get(f"n{n}", 0.0) for n in range(10)) for rig in (calm, rattled)]
     assert shares[0] > 1.5 * shares[1]
+
+
+def test_backends_that_all_returned_are_let_in_though_a_proxy_waits_for_its_table() -> None:
+    # It can't get a table with no line, and each waited for the other: bare for good beside warm backends.
+    rig = fleet(2, 1)
+    rig.hear(gone("b0"), gone("b1"))
+    rig.run(8)
+    rig.join(2, "b0", "b1")
+    rig.hear(ready("b0", started=rig.now), ready("b1", started=rig.now))
+    rig.run(6)
+    assert all(set(mux.lines()) == {"b0", "b1"} for mux in rig.muxes.values()) and rig.brain.proxies[2].bound
+
+
+def test_looks_that_meet_silence_or_late_answers_step_a_backend_down_before_sums_tell() -> None:
+    for sight, told in ((say.Sight.SILENT, None), (say.Sight.SERVED, 20_000)):
+        rig = fleet(9, 1, probes_allowed=True)
+        report(rig, 6)
+        for _ in range(4):
+            for n in range(9):
+                rig.brain.learn_probe(rig.now, f"b{n}", say.Sight.SERVED, say.Load(latency=1000))
+            rig.brain.learn_probe(rig.now, "b4", sight, say.Load(latency=told))
+            report(rig, 1)
+        lines = rig.muxes[1].lines()
+        assert lines["b4"] < 0.9 and all(lines[f"b{n}"] == 1 for n in range(9) if n != 4)
+
+
+def test_where_many_are_silent_looks_step_nobody_down() -> None:
+    rig = fleet(9, 1, probes_allowed=True)
+    report(rig, 6)
+    for _ in range(4):
+        for n in range(9):
+            sight = say.Sight.SILENT if n < 6 else say.Sight.SERVED
+            rig.brain.learn_probe(rig.now, f"b{n}", sight, say.Load(latency=1000))
+        report(rig, 1)
+    assert all(rig.brain.backends[f"b{n}"].trust == 1 for n in range(3, 6))
+
+
+def test_quick_answers_to_looks_hide_no_backend_whose_flows_fail() -> None:
+    rig = fleet(9, 1, probes_allowed=True)
+    for _ in range(12):
+        for n in range(9):
+            rig.brain.learn_probe(rig.now, f"b{n}", say.Sight.SERVED, say.Load(latency=500))
+        report(rig, 1, b4=(16, 1000))
+    assert rig.muxes[1].lines()["b4"] < 0.3
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -104,6 +104,7 @@
         return told
 
     def answer(self, proxy: int) -> None:
+        self.host.alive(self.now, proxy, self.streams[proxy])
         for turn in self.muxes[proxy].turns:
             self.host.applied(self.now, proxy, self.streams[proxy], turn, 100)
         self.muxes[proxy].turns.clear()
@@ -230,7 +231,9 @@
             elif chance < 0.6:
                 day.host.tries(day.now, name, 0, 20, vary.randrange(20), 900, 10_000, say.Load())
             elif chance < 0.7:
-                day.host.probed(day.now, name, vary.choice(list(say.Sight)), say.Load(None, vary.choice((None, 500, 9000))))
+                day.host.probed(
+                    day.now, name, vary.choice(list(say.Sight)), say.Load(None, vary.choice((None, 500, 9000)))
+                )
             elif chance < 0.95 and proxy in day.streams:
                 day.answer(proxy)
             else:
@@ -349,7 +352,8 @@
 
     def __init__(self) -> None:
         self.members = [
-            MEMBER | {"id": f"s-{n}", "host_port": "127.0.0.1:1", "up_since_ms": 0, "locality": "a"} for n in range(3)
+            MEMBER | {"id": f"s-{n}", "host_port": "127.0.0.1:1", "up_since_ms": 0, "locality": "a", "size": 1.0}
+            for n in range(3)
         ]
         self.revision, self.changed = 7, asyncio.Event()
         self.asked: list[str] = []
@@ -532,7 +536,10 @@
             took = await asyncio.gather(*(ended(node, data) for data in BAD * 14))
             assert len(took) == 14 * len(BAD) and PATIENCE < 3
             # Reports without meaning on a good stream cost nothing but themselves.
-            for spoilt in ("client_stats proxy 3 class look tries nan failed 0 span_ms 1000", "done proxy 3 mark 9 took_ms 1"):
+            for spoilt in (
+                "client_stats proxy 3 class look tries nan failed 0 span_ms 1000",
+                "done proxy 3 mark 9 took_ms 1",
+            ):
                 proxy.say(spoilt)
             node.platform.change(0, phase="DRAINING")
             assert (await proxy.until(lambda m: "drop" in m))["drop"] == "s-0"
