--- a/onyxhead/brain.py
+++ b/onyxhead/brain.py
@@ -44,7 +44,10 @@
 SWELL = 1.25  # while levels hold, so much more may be coming than is told
 SLIGHT = 0.9  # of the usual flows, what levels leave at least while only some is late
 RATTLED = 0.1  # of lately failed tries, from which proxies' avoiding counts whole against cold backends
+QUICK_MEMORY = 0.9  # of how long a backend's answers take, what the next look leaves
 LOOK_TRIES = 12  # so many tries one look at a backend stands for
+UNSTEADY = 0.3  # a smaller change of that part is not worth new lines
+LEAST_QUICK = 0.3  # what takes longer still has most likely a queue, and steps see to that
 LEAST_LEVEL = 0.2  # no traffic group is shut out whole
 
 
@@ -83,6 +86,7 @@
         self.share, self.asked = 1.0, 0.0  # of what it bears: agreed on by controllers; what would come
         self.fits: dict[int, float] = {}  # by table
         self.takes: int | None = None  # the mean time of its answers, in its own latest word
+        self.long, self.quick = 0.0, 1.0  # that time over its last words, and its part for being slower than its kind
         self.recent = Record()
         self.forget(now)
 
@@ -228,6 +232,8 @@
             known.unreached = 0
             full = say.Load(busy=1.0 if known.load else None)
             known.hear_load(load if sight is say.Sight.SERVED else full, self.pulls)
+        if known.takes and self._warmth(known, now) == 1 and self.failed < SOUND_EXCESS:
+            known.long = QUICK_MEMORY * (known.long or known.takes) + (1 - QUICK_MEMORY) * known.takes
         # Where proxies are many, sums come seconds late; a look meets a long queue at once. Where many are silent
         # all have too much. A quick answer proves little: flows may fail all the same.
         bad = known.silent or self._late(known.takes or 0) > SOUND_EXCESS
@@ -574,6 +580,14 @@
         kinds = {kind: [b for b in up if b.kind == kind] for kind in {b.kind for b in up}}
         rates = {k: sum(b.load for b in of) / (sum(b.held for b in of) or 1.0) for k, of in kinds.items()}
         prior = PRIOR * sum(b.drawn(self.pulls) for b in up) / max(1, len(up))
+        # Machines of a kind differ in speed, and sums that tell it come late: the slower half of each gets less.
+        for alike in kinds.values() if self.failed < SOUND_EXCESS else ():
+            told = sorted(b.long for b in alike if b.long)
+            for backend in (b for b in alike if b.long):
+                quick = max(LEAST_QUICK, min(1.0, told[len(told) // 2] / backend.long))
+                # A line costs a head at every proxy, and one word is mostly noise.
+                if abs(quick - backend.quick) > UNSTEADY * backend.quick:
+                    backend.quick = quick
         rate: dict[str, float] = {}
         able: dict[str, float] = {}
         for backend in up if prior else ():
@@ -659,7 +673,7 @@
             warmth = max(1, steps) / RAMP_STEPS
         reach = TRICKLE if backend.unreached >= UNREACHED or backend.zone in self.dark else 1.0
         fit = min(backend.trust, backend.fits.get(table.number, 1.0) / table.top)
-        return backend.weight * warmth * backend.part * fit * reach
+        return backend.weight * warmth * backend.part * fit * reach * backend.quick
 
     def _warmth(self, backend: Backend, now: int) -> float:
         age = max(0, now - backend.started) if backend.started else self.cold_time
