Warm backends slower by looks than the middle of their kind get less

Cause: beliefs by backend show equal weights for machines of one kind whose told times differ by 2 to 3 times; steps find it only after they answer late.

--- a/onyxhead/brain.py
+++ b/onyxhead/brain.py
@@ -39,7 +39,7 @@
 NEARLY_FULL = 0.6  # backends that would be busier than this give up a part before they answer late
 COMFORT = 0.7  # busy so much, a backend still answers in time
 OVERLOADED = 0.2  # when even the best quarter loses this much, less must come in
-CROWDED = 0.4  # when so many tries fail and the others are quick, fewer backends are used by each proxy
+CROWDED = 0.3  # when so many tries fail and the others are quick, fewer backends are used by each proxy
 CELLS_LAST = 30 * SECOND  # then the tables are whole again, since nothing tells that the cause has gone
 SWELL = 1.25  # while levels hold, so much more may be coming than is told
 SLIGHT = 0.9  # of the usual flows, what levels leave at least while only some is late
@@ -232,7 +232,7 @@
             known.unreached = 0
             full = say.Load(busy=1.0 if known.load else None)
             known.hear_load(load if sight is say.Sight.SERVED else full, self.pulls)
-        if known.takes and self._warmth(known, now) == 1 and self.failed < SOUND_EXCESS:
+        if known.takes and self._warmth(known, now) == 1:
             known.long = QUICK_MEMORY * (known.long or known.takes) + (1 - QUICK_MEMORY) * known.takes
         # Where proxies are many, sums come seconds late; a look meets a long queue at once. Where many are silent
         # all have too much. A quick answer proves little: flows may fail all the same.
@@ -581,10 +581,11 @@
         rates = {k: sum(b.load for b in of) / (sum(b.held for b in of) or 1.0) for k, of in kinds.items()}
         prior = PRIOR * sum(b.drawn(self.pulls) for b in up) / max(1, len(up))
         # Machines of a kind differ in speed, and sums that tell it come late: the slower half of each gets less.
-        for alike in kinds.values() if self.failed < SOUND_EXCESS else ():
+        for alike in kinds.values():
             told = sorted(b.long for b in alike if b.long)
             for backend in (b for b in alike if b.long):
-                quick = max(LEAST_QUICK, min(1.0, told[len(told) // 2] / backend.long))
+                # In a cell of one backend its part says nothing, and only costs lines.
+                quick = max(LEAST_QUICK, min(1.0, told[len(told) // 2] / backend.long)) if self.cells == 1 else 1.0
                 # A line costs a head at every proxy, and one word is mostly noise.
                 if abs(quick - backend.quick) > UNSTEADY * backend.quick:
                     backend.quick = quick
