--- a/onyxhead/brain.py
+++ b/onyxhead/brain.py
@@ -72,7 +72,7 @@
     def __init__(self, backend: str, cell: int) -> None:
         self.id, self.cell = backend, cell
         self.zone = self.kind = -1
-        self.ready = self.down = self.silent = False
+        self.ready = self.down = self.silent = self.unseen = False
         self.weight = 1.0
         self.started = self.look_at = self.unreached = 0
         self.shut = 0  # when the withdrawal was last ordered
@@ -234,11 +234,12 @@
             known.hear_load(load if sight is say.Sight.SERVED else full, self.pulls)
         if known.takes and self._warmth(known, now) == 1:
             known.long = QUICK_MEMORY * (known.long or known.takes) + (1 - QUICK_MEMORY) * known.takes
-        # Where proxies are many, sums come seconds late; a look meets a long queue at once. Where many are silent
-        # all have too much. A quick answer proves little: flows may fail all the same.
-        bad = known.silent or self._late(known.takes or 0) > SOUND_EXCESS
-        if bad and now >= known.judged and 3 * sum(b.silent for b in self._up()) < len(self._up()):
-            known.since.add(LOOK_TRIES, LOOK_TRIES * known.silent, known.takes or 0)
+        # Where proxies are many, sums come seconds late; a look meets a long queue or an error at once. Where many
+        # fail them all have too much. A quick answer proves little: flows may fail all the same.
+        failed = known.unseen = sight in (say.Sight.SILENT, say.Sight.NO_ROOM)
+        bad = failed or self._late(known.takes or 0) > SOUND_EXCESS
+        if bad and now >= known.judged and 3 * sum(b.unseen for b in self._up()) < len(self._up()):
+            known.since.add(LOOK_TRIES, LOOK_TRIES * failed, known.takes or 0)
 
     def proxy_joined(self, now: int, proxy: int, zone: int, usual: float, standing: bool) -> None:
         known = self.proxies[proxy] = Proxy(proxy, zone, usual, standing, now)
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -543,3 +543,36 @@
             rig.brain.learn_probe(rig.now, f"b{n}", say.Sight.SERVED, say.Load(latency=500))
         report(rig, 1, b4=(16, 1000))
     assert rig.muxes[1].lines()["b4"] < 0.3
+
+
+def test_looks_that_meet_errors_step_a_backend_down_before_sums_tell() -> None:
+    rig = fleet(9, 1, probes_allowed=True)
+    report(rig, 6)
+    for second in range(5):
+        for n in range(9):
+            sight = say.Sight.NO_ROOM if n == 4 and second % 2 else say.Sight.SERVED
+            rig.brain.learn_probe(rig.now, f"b{n}", sight, say.Load(latency=1000))
+        report(rig, 1)
+    lines = rig.muxes[1].lines()
+    assert lines["b4"] < 0.9 and all(lines[f"b{n}"] == 1 for n in range(9) if n != 4)
+
+
+def test_a_warm_backend_slower_than_the_middle_of_its_kind_gets_less_and_small_differences_change_nothing() -> None:
+    rig = fleet(12, 1, probes_allowed=True)
+    for _ in range(12):
+        for n in range(12):
+            told = 3000 if n == 4 else 1100 + 30 * n
+            rig.brain.learn_probe(rig.now, f"b{n}", say.Sight.SERVED, say.Load(latency=told))
+        report(rig, 1)
+    lines = rig.muxes[1].lines()
+    assert 0.3 <= lines["b4"] < 0.5 and all(lines[f"b{n}"] == 1 for n in range(12) if n != 4)
+
+
+def test_a_cold_backend_is_not_held_to_the_speed_of_warm_ones() -> None:
+    rig = fleet(6, 1, probes_allowed=True)
+    rig.hear(ready("n", started=rig.now))
+    for _ in range(8):
+        for n in ("b0", "b1", "b2", "b3", "b4", "b5", "n"):
+            rig.brain.learn_probe(rig.now, n, say.Sight.SERVED, say.Load(latency=3000 if n == "n" else 1000))
+        report(rig, 1)
+    assert rig.brain.backends["n"].quick == 1 and rig.brain.backends["n"].long == 0
