--- a/onyxhead/brain.py
+++ b/onyxhead/brain.py
@@ -86,7 +86,7 @@
         self.share, self.asked = 1.0, 0.0  # of what it bears: agreed on by controllers; what would come
         self.fits: dict[int, float] = {}  # by table
         self.takes: int | None = None  # the mean time of its answers, in its own latest word
-        self.long, self.quick = 0.0, 1.0  # that time over its last words, and its part for being slower than its kind
+        self.long, self.quick = 0.0, 1.0  # that over its last words, and its part if slower than its kind
         self.recent = Record()
         self.forget(now)
 
@@ -234,8 +234,8 @@
             known.hear_load(load if sight is say.Sight.SERVED else full, self.pulls)
         if known.takes and self._warmth(known, now) == 1:
             known.long = QUICK_MEMORY * (known.long or known.takes) + (1 - QUICK_MEMORY) * known.takes
-        # Where proxies are many, sums come seconds late; a look meets a long queue or an error at once. Where many
-        # fail them all have too much. A quick answer proves little: flows may fail all the same.
+        # Where proxies are many, sums come seconds late; a look meets a long queue or an error at once. Where
+        # many fail them all have too much. A quick answer proves little: flows may fail all the same.
         failed = known.unseen = sight in (say.Sight.SILENT, say.Sight.NO_ROOM)
         bad = failed or self._late(known.takes or 0) > SOUND_EXCESS
         if bad and now >= known.judged and 3 * sum(b.unseen for b in self._up()) < len(self._up()):
@@ -411,7 +411,8 @@
             return
         chosen: dict[int, list[tuple[str, float]]] = {}
         # Where all that is ready has returned, waiting until all are bound would leave them bare for good.
-        served = all(any(t.takes(b) and b.lines[t.number] and not b.shut for b in self._up()) for t in self.tables)
+        usable = [backend for backend in self._up() if not backend.shut]
+        served = all(any(t.takes(b) and b.lines[t.number] for b in usable) for t in self.tables)
         for backend, lines in self._changes(now, served and len(bound) < len(self.proxies)):
             back = backend.shut and backend.ready
             room -= sum(len(users[number]) for number in lines) + len(bound) * (back > 0)
@@ -581,12 +582,13 @@
         kinds = {kind: [b for b in up if b.kind == kind] for kind in {b.kind for b in up}}
         rates = {k: sum(b.load for b in of) / (sum(b.held for b in of) or 1.0) for k, of in kinds.items()}
         prior = PRIOR * sum(b.drawn(self.pulls) for b in up) / max(1, len(up))
-        # Machines of a kind differ in speed, and sums that tell it come late: the slower half of each gets less.
+        # Machines of a kind differ in speed, and sums tell it late: the slower half of each gets less.
         for alike in kinds.values():
             told = sorted(b.long for b in alike if b.long)
             for backend in (b for b in alike if b.long):
                 # In a cell of one backend its part says nothing, and only costs lines.
-                quick = max(LEAST_QUICK, min(1.0, told[len(told) // 2] / backend.long)) if self.cells == 1 else 1.0
+                quick = max(LEAST_QUICK, told[len(told) // 2] / backend.long) if self.cells == 1 else 1.0
+                quick = min(1.0, quick)
                 # A line costs a head at every proxy, and one word is mostly noise.
                 if abs(quick - backend.quick) > UNSTEADY * backend.quick:
                     backend.quick = quick
