--- a/onyxhead/brain.py
+++ b/onyxhead/brain.py
@@ -48,6 +48,7 @@
 LOOK_TRIES = 12  # so many tries one look at a backend stands for
 UNSTEADY = 0.3  # a smaller change of that part is not worth new lines
 LEAST_QUICK = 0.3  # what takes longer still has most likely a queue, and steps see to that
+MOST_GONE = 200  # backends that have left and are still known, to be withdrawn again from who held them
 LEAST_LEVEL = 0.2  # no traffic group is shut out whole
 
 
@@ -198,6 +199,10 @@
         spread = min(SECOND, self.grace // 3) if 2 * len(lost) > healthy else 0
         for place, known in enumerate(lost):
             known.out_at = now + spread * place // len(lost)
+        # Where machines are replaced new ids come for ever; those longest out have left all tables by then.
+        out = [b for b in self.backends.values() if b.down and b.shut and not any(b.lines.values())]
+        for known in sorted(out, key=lambda b: b.shut)[: max(0, len(out) - MOST_GONE)]:
+            del self.backends[known.id]
 
     def learn_tries(
         self, now: int, backend: str, zone: int, tries: int, bad: int, mean: int, age: int, load: say.Load
--- a/onyxhead/cli/main.py
+++ b/onyxhead/cli/main.py
@@ -107,6 +107,16 @@
     run_daemon(settings, load.Agent, "a controller's", Daemon)
 
 
+@main.command()
+def node() -> None:
+    """Run a controller on the platform, from the BALANCER_ variables (docs/node.md)."""
+    import os
+
+    from onyxhead.node.serve import main as run
+
+    sys.exit(run(dict(os.environ), lambda text: click.echo(text, err=True)))
+
+
 def replace(path: Path, text: str) -> None:
     """Puts text in a file's place, whole or not at all."""
     beside = path.with_name(f".{path.name}.new")
--- a/onyxhead/node/__main__.py
+++ b/onyxhead/node/__main__.py
@@ -4,9 +4,8 @@
 
 import os
 import sys
-from functools import partial
 
 from onyxhead.node.serve import main
 
 if __name__ == "__main__":
-    sys.exit(main(dict(os.environ), partial(print, file=sys.stderr)))
+    sys.exit(main(dict(os.environ), lambda text: print(text, file=sys.stderr)))
--- a/onyxhead/node/host.py
+++ b/onyxhead/node/host.py
@@ -91,6 +91,7 @@
         if len(self.listed) > MOST_NAMES:
             for name in [name for name, entry in self.listed.items() if not entry.ready][: len(self.listed) // 2]:
                 del self.listed[name]
+                self.shut.pop(name, None)
 
     def list_refused(self, now: int) -> None:
         self.brain.learn_list(now, say.News.REFUSED, [])
--- a/onyxhead/node/serve.py
+++ b/onyxhead/node/serve.py
@@ -7,7 +7,7 @@
 import signal
 import time
 from collections import Counter
-from functools import partial
+from collections.abc import Callable
 from pathlib import Path
 
 import onyxhead.interface as say
@@ -292,7 +292,7 @@
     await Node(given, config, notes).run()
 
 
-def main(environment: dict[str, str], say_fault: partial[None]) -> int:
+def main(environment: dict[str, str], say_fault: Callable[[str], None]) -> int:
     """Runs a node from its environment; returns the exit code."""
     try:
         given, config = starting.told(environment)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -251,6 +251,26 @@
                     assert mux.shut & set(tables[table]) <= set(day.host.shut), f"seed {seed}"
 
 
+def test_what_is_kept_of_departed_backends_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("onyxhead.brain.MOST_GONE", 20)
+    monkeypatch.setattr("onyxhead.node.host.MOST_NAMES", 60)
+    day = Day()
+    day.host.list_heard(day.now, say.News.REMEMBERED, fleet("s0", "s1"))
+    for proxy in (1, 2):
+        day.join(proxy)
+    day.run(2)
+    for n in range(2, 200):
+        day.host.list_heard(day.now, say.News.CHANGES, [*fleet(f"s{n}", started=day.now), rig.draining(f"s{n - 2}")])
+        day.run(1.2)
+        day.host.list_heard(day.now, say.News.CHANGES, [rig.gone(f"s{n - 2}")])
+    assert len(day.host.brain.backends) < 30 and len(day.host.listed) <= 61 and len(day.host.shut) <= 61
+    assert all(set(rows) == set(day.host.tables[0]) for rows in (mux.rows[0] for mux in day.muxes.values()))
+    # A late word of a forgotten one brings nothing back, and its name alone makes it no trusted backend.
+    day.host.tries(day.now, "s5", 0, 50, 0, 500, 10_000, say.Load())
+    day.host.probed(day.now, "s5", say.Sight.SERVED, say.Load())
+    assert "s5" not in day.host.brain.backends and "s5" in day.muxes[1].shut
+
+
 # Start
 
 
@@ -287,6 +307,28 @@
         assert done.returncode == 2 and done.stderr == f"{name} is not set\n" and not done.stdout
 
 
+def test_the_program_loads_no_more_than_it_needs() -> None:
+    code = "import sys, onyxhead.node.serve; print(*sys.modules)"
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    loaded = {name.split(".")[0] for name in done.stdout.split()}
+    heavy = {
+        "structlog",
+        "rich",
+        "textual",
+        "asyncssh",
+        "lxml",
+        "numpy",
+        "yangson",
+        "whisper",
+        "lark",
+        "click",
+        "msgspec",
+    }
+    assert "h11" in loaded and not loaded & heavy
+    parts = {name for name in done.stdout.split() if name.startswith("onyxhead.")}
+    assert not any(part.split(".")[1] in ("store", "fleet", "intake", "tables", "series", "keys") for part in parts)
+
+
 def test_settings_keep_their_units() -> None:
     start = deployment(SETTINGS)
     assert start.groups[0].latency_budget == 7_500 and start.guards.drain_grace == 29_000
