--- a/onyxhead/node/host.py
+++ b/onyxhead/node/host.py
@@ -69,6 +69,7 @@
         # ready again may still be shut out at a proxy that missed its return.
         self.listed: dict[str, say.Listed] = {}
         self.returned: set[str] = set()
+        self.passed = 0  # when the latest turn that anyone has answered was ordered
         self.counts: Counter[str] = Counter()
 
     # What is heard
@@ -135,8 +136,12 @@
         known = self.joined.get(proxy)
         if known is None or known.stream != stream or all(turn != each for each, _ in known.turns):
             return False
-        while known.turns.popleft()[0] != turn:
-            pass  # messages are applied in order: what was asked earlier is applied too, its answer lost or spoilt
+        while True:
+            # Messages are applied in order: what was asked earlier is applied too, its answer lost or spoilt.
+            asked, ordered = known.turns.popleft()
+            if asked == turn:
+                break
+        self.passed = max(self.passed, ordered)
         self.brain.turn_applied(now, proxy, turn, took)
         return True
 
@@ -152,12 +157,16 @@
         self.brain.learn_probe(now, backend, sight, load)
 
     def hush(self, now: int) -> list[int]:
-        """Proxies whose streams have just fallen silent: they owe an answer, and nothing at all comes from them. The
-        platform says nothing when a machine vanishes; what waits for one must not count as waiting for good."""
+        """Proxies whose streams have just fallen silent: they owe an answer that the channel, which is in order, has
+        let pass at others, and nothing at all comes from them. The platform says nothing when a machine vanishes; what
+        waits for one must not count as waiting for good, nor a slow channel be taken for silence."""
         found = [
             proxy
             for proxy, known in self.joined.items()
-            if not known.silent and known.turns and now - max(known.heard, known.turns[0][1]) > SILENCE
+            if not known.silent
+            and known.turns
+            and known.turns[0][1] < self.passed
+            and now - max(known.heard, known.turns[0][1]) > SILENCE
         ]
         for proxy in found:
             self.joined[proxy].silent, self.joined[proxy].bound = True, {}
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -181,9 +181,14 @@
     day.host.list_heard(day.now, say.News.REMEMBERED, fleet("s1", "s2"))
     day.join(1)
     day.run(1, answering=False)
-    assert day.host.brain.unanswered and not day.host.hush(day.now)
     day.now += SILENCE + 10_000
+    # Nobody has answered anything since: the channel may be slow, and a slow channel is no silence.
+    assert day.host.brain.unanswered and not day.host.hush(day.now)
+    day.join(2)
+    day.run(1, answering=False)
+    day.answer(2)
     assert day.host.hush(day.now) == [1] and not day.host.brain.unanswered and not day.host.hush(day.now)
+    day.host.left(day.now, 2, day.streams.pop(2))
     day.host.list_heard(day.now, say.News.CHANGES, [rig.draining("s2")])
     assert day.act() == []
     day.host.alive(day.now, 1, day.streams[1])
