--- a/onyxhead/brain.py
+++ b/onyxhead/brain.py
@@ -323,6 +323,9 @@
     def _due(self, now: int, gather: int) -> list[Backend]:
         # Whole tables for many that join take longer than the grace; so late withdrawals are said again.
         waiting = [p for p in self.proxies.values() if not p.bound and now - p.joined > gather]
+        # A few are sooner given their tables: said again, all who hold an uncleared line hear it once more.
+        if len(waiting) * (self.head + len(self._up())) < self.head * len(self.proxies):
+            waiting = []
         joined = max((p.joined for p in waiting), default=0)
         since = min((p.joined for p in waiting), default=now) - STALE * self.grace
         gone = [b for b in self.backends.values() if b.down and (b.out_at or now) <= now]
@@ -349,8 +352,8 @@
             if room < 0:
                 return
             backend.shut = max(1, now)
-            # Who is not bound here may hold no such line, and a message never sent is never answered. Where few
-            # are not, later answers of others tell as much; a head at all for each joining would fill the channel.
+            # Who is not bound may hold no such line, and a message never sent is never answered. Where few
+            # are not, later answers of others tell as much; a head at all for each joining fills the channel.
             self.reach_all = 2 * sum(not proxy.bound for proxy in everyone) > len(everyone)
             self._spend(0, everyone if self.reach_all else holding[backend.id])
             self._spend(1, holding[backend.id])
