--- a/onyxhead/node/probes.py
+++ b/onyxhead/node/probes.py
@@ -11,7 +11,7 @@
 from onyxhead.interface import Load, Sight
 
 AT_ONCE = 16
-TIMEOUT = 0.4
+TIMEOUT = 0.5
 """Seconds from the first packet to the answer. A backend that is cut off says nothing at all, so silence counts alike
 before and after the connection stands."""
 MOST_REPORT = 4096
