Read again: one writer of figures for both wires, one place that tells faults, unused state gone

shown() stood in the wire host and in the streams' orders; it is in settings/instance.py now. Unused: Host.start, Node.refused, Watch.moves, an argument of figures(). Behaviour is meant to be unchanged.

--- a/onyxhead/cli/main.py
+++ b/onyxhead/cli/main.py
@@ -28,6 +28,8 @@
 TIMEOUT = 3.0
 EXISTING = click.Path(path_type=Path)
 AS_JSON = click.option("--json", "as_json", is_flag=True)
+ALL_JSON = click.option("--json", "as_json", is_flag=True, help="All that is known, as JSON.")
+IDENTITY = click.option("--as", "identity", type=EXISTING, help="FOLDER/NAME of the certificate to show.")
 
 
 def stop(code: int, *lines: object) -> NoReturn:
@@ -217,7 +219,7 @@
 
 @main.command()
 @click.argument("address")
-@click.option("--json", "as_json", is_flag=True, help="All that is known, as JSON.")
+@ALL_JSON
 @click.option("--as", "identity", type=EXISTING, help="FOLDER/NAME: with NAME.crt, NAME.key and authorities.pem there.")
 def show(address: str, as_json: bool, identity: Path | None) -> None:
     """Show what a controller or an agent knows."""
@@ -232,7 +234,7 @@
 
 @main.command()
 @click.argument("address")
-@click.option("--as", "identity", type=EXISTING, help="FOLDER/NAME of the certificate to show.")
+@IDENTITY
 def config(address: str, identity: Path | None) -> None:
     """Write what the controller at ADDRESS runs with as settings; edits by NETCONF are in it."""
     click.echo(ask(address, "/v1/config", identity)["records"], nl=False)
@@ -240,8 +242,8 @@
 
 @main.command()
 @click.argument("address")
-@click.option("--json", "as_json", is_flag=True, help="All that is known, as JSON.")
-@click.option("--as", "identity", type=EXISTING, help="FOLDER/NAME of the certificate to show.")
+@ALL_JSON
+@IDENTITY
 def load_view(address: str, as_json: bool, identity: Path | None) -> None:
     """Show what the controller at ADDRESS takes for true of its backends' load, how sure it is, and whom it doubts."""
     state = ask(address, "/v1/load", identity)
@@ -270,9 +272,6 @@
     """Versions of a controller's tables, and the way back."""
 
 
-IDENTITY = click.option("--as", "identity", type=EXISTING, help="FOLDER/NAME of the certificate to show.")
-
-
 def shown(title: str, told: Any, as_json: bool) -> None:  # noqa: ANN401
     if as_json:
         click.echo(json.dumps(told, indent=2))
@@ -386,7 +385,7 @@
 
 @fleet.command()
 @click.argument("address")
-@click.option("--json", "as_json", is_flag=True)
+@AS_JSON
 @IDENTITY
 def status(address: str, as_json: bool, identity: Path | None) -> None:
     """What the controller at ADDRESS knows of its fellows; what it does not know is shown as -."""
@@ -523,7 +522,7 @@
 
 @keys.command("show")
 @click.argument("folder", type=EXISTING)
-@click.option("--json", "as_json", is_flag=True)
+@AS_JSON
 def keys_show(folder: Path, as_json: bool) -> None:
     """List what was issued."""
     rows = carried(lambda: authority_in(folder).issued())
--- a/onyxhead/fronts/streams/orders.py
+++ b/onyxhead/fronts/streams/orders.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from onyxhead.fronts.streams.resp import framed
+from onyxhead.settings.instance import shown
 
 MOST_PARTS = 64
 ALIVE = framed([b"hb_ok"])
@@ -81,11 +82,6 @@
         return [b"for", b"+".join(self.groups[group] for group in groups)] if groups else []
 
 
-def shown(value: float) -> str:
-    """A figure as the platform reads it, no exponent for the usual sizes."""
-    return f"{value:.9g}" if value else "0"
-
-
 def rejected(why: str) -> bytes:
     """The last word to a client that is turned away."""
     return framed([b"reject", b"why", why.encode()])
--- a/onyxhead/node/discovery.py
+++ b/onyxhead/node/discovery.py
@@ -36,7 +36,6 @@
         self.vary = random.Random(seed).uniform
         self.revision: int | None = None
         self.task: asyncio.Task[None] | None = None
-        self.moves = 0
 
     def start(self) -> None:
         self.task = asyncio.get_running_loop().create_task(self._run())
@@ -46,7 +45,6 @@
         if self.task is not None:
             self.task.cancel()
         self.address = address
-        self.moves += 1
         self.start()
 
     async def _run(self) -> None:
--- a/onyxhead/node/host.py
+++ b/onyxhead/node/host.py
@@ -60,7 +60,7 @@
 
 class Host:
     def __init__(self, start: say.Deployment, seed: int, now: int) -> None:
-        self.start, self.brain = start, Brain(start, seed, now)
+        self.brain = Brain(start, seed, now)
         self.tables: dict[int, dict[str, float]] = {}
         self.levels: dict[int, dict[tuple[int, ...], Level]] = {}
         self.shut: dict[str, None] = {}
@@ -105,10 +105,14 @@
         self.brain.proxy_joined(now, proxy, zone, usual, standing)
         self.counts["joins"] += 1
 
+    def _on(self, proxy: int, stream: Hashable) -> Joined | None:
+        """The proxy, if it is joined by this stream and not by a later one."""
+        known = self.joined.get(proxy)
+        return known if known is not None and known.stream == stream else None
+
     def left(self, now: int, proxy: int, stream: Hashable) -> bool:
         """The stream is over; False if another one has taken its place, and nothing changes."""
-        known = self.joined.get(proxy)
-        if known is None or known.stream != stream:
+        if self._on(proxy, stream) is None:
             return False
         self._leave(now, proxy)
         self.counts["left"] += 1
@@ -120,7 +124,7 @@
 
     def alive(self, now: int, proxy: int, stream: Hashable) -> None:
         """Something was heard on this stream."""
-        if (known := self.joined.get(proxy)) is None or known.stream != stream:
+        if (known := self._on(proxy, stream)) is None:
             return
         known.heard = now
         if known.silent:
@@ -132,8 +136,8 @@
 
     def applied(self, now: int, proxy: int, stream: Hashable, turn: int, took: int) -> bool:
         """The proxy applied this turn; False if this stream was asked for no such answer."""
-        known = self.joined.get(proxy)
-        if known is None or known.stream != stream or all(turn != each for each, _ in known.turns):
+        known = self._on(proxy, stream)
+        if known is None or all(turn != each for each, _ in known.turns):
             return False
         while True:
             # Messages are applied in order: what was asked earlier is applied too, its answer lost or spoilt.
@@ -267,7 +271,7 @@
         rows += [Rows(known.bound[table], False, tuple(lines.items())) for table, lines in changed]
         return Orders(tuple(draft.out), tuple(draft.back), tuple(rows), tuple(draft.levels), turn)
 
-    def figures(self, now: int) -> dict[str, float]:
+    def figures(self) -> dict[str, float]:
         """What the module believes, for the log: read only."""
         brain = self.brain
         return {
--- a/onyxhead/node/serve.py
+++ b/onyxhead/node/serve.py
@@ -51,7 +51,6 @@
         self.probes = Probes("/load" if given.reports else "/healthz", self.probed)
         self.watch = Watch(given.discovery, self.names, self.listed, self.unheard, given.seed)
         self.counts: Counter[str] = Counter()
-        self.refused: Counter[str] = Counter()
         self.pulled = 0.0
         self.waiting: asyncio.TimerHandle | None = None
         self.waking: asyncio.TimerHandle | None = None
@@ -113,10 +112,15 @@
         if moved and self.watching:
             self.watch.move(given.discovery)
 
+    def _fault(self, event: str, where: str) -> None:
+        """A fault of ours is told once a place, not each time, and ends nothing."""
+        self.counts["faults"] += 1
+        self.notes.once(event, where)
+
     # What is heard
 
     def heard(self, link: Link, words: Words) -> None:
-        """One message. A fault of ours is told once a place and ends neither the stream nor the loop."""
+        """One message. What is wrong with it or with us ends neither the loop nor a stream that has joined."""
         try:
             self._heard(link, words)
         except Spoilt as error:
@@ -127,8 +131,7 @@
             self.counts["spoilt"] += 1
             self.notes.once("message refused", str(error)[:200], link=link.number)
         except Exception as error:
-            self.counts["faults"] += 1
-            self.notes.once("fault in a message", place(error))
+            self._fault("fault in a message", place(error))
 
     def _heard(self, link: Link, words: Words) -> None:
         now, proxy = self.clock.now(), self.by_link.get(link.number)
@@ -188,8 +191,7 @@
         try:
             self.host.list_heard(self.clock.now(), news, found.entries)
         except Exception as error:
-            self.counts["faults"] += 1
-            self.notes.once("fault in a list", place(error))
+            self._fault("fault in a list", place(error))
         self.counts["lists"] += 1
         self.notes.say("list", revision=found.revision, whole=found.whole, entries=len(found.entries))
         self.stir()
@@ -206,8 +208,7 @@
         try:
             self.host.probed(self.clock.now(), backend, sight, load)
         except Exception as error:
-            self.counts["faults"] += 1
-            self.notes.once("fault in a probe", place(error))
+            self._fault("fault in a probe", place(error))
         self.stir()
 
     # What is decided
@@ -224,8 +225,7 @@
         try:
             work = self.host.act(self.clock.now())
         except Exception as error:
-            self.counts["faults"] += 1
-            self.notes.once("fault in a pull", place(error))
+            self._fault("fault in a pull", place(error))
             self._wake(IDLE)
             return
         encoded: dict[int, bytes] = {}
@@ -242,8 +242,7 @@
             if (where := self.places.get(backend)) is not None:
                 self.probes.start(backend, where)
         for fault in work.faults:
-            self.counts["faults"] += 1
-            self.notes.once("fault in the module", fault)
+            self._fault("fault in the module", fault)
         for text in work.remarks:
             self.notes.say("remark", text=text)
         if work.subscribe:
@@ -280,7 +279,7 @@
             pulling_share=round(self.busy / FIGURES, 3),
             links=len(self.door.links),
             strangers=len(self.door.strangers),
-            **self.host.figures(self.clock.now()),
+            **self.host.figures(),
             counts=dict(self.counts),
             door=dict(self.door.counts),
             host=dict(self.host.counts),
--- a/onyxhead/node/start.py
+++ b/onyxhead/node/start.py
@@ -8,7 +8,7 @@
 from typing import Any, NamedTuple
 
 import onyxhead.interface as say
-from onyxhead.settings.instance import Unfit, deployment
+from onyxhead.settings.instance import NS, Unfit, deployment
 
 Address = tuple[str, int]
 NAMES = ("BALANCER_NAME", "BALANCER_LISTEN", "BALANCER_DISCOVERY", "BALANCER_CONFIG")
@@ -83,7 +83,7 @@
     start = deployment(settings)
     try:
         zones, kinds = (tuple(map(str, settings[name])) for name in ("zones", "hostTypes"))
-        reports, gap = settings["report"].get("via", "off") != "off", -(-int(settings["roundNs"]) // 100_000)
+        reports, gap = settings["report"].get("via", "off") != "off", -(-int(settings["roundNs"]) // NS)
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise Unfit(f"settings: {type(error).__name__}: {error}") from None
     groups = tuple(group.name for group in start.groups)
--- a/onyxhead/settings/instance.py
+++ b/onyxhead/settings/instance.py
@@ -100,3 +100,8 @@
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise Unfit(f"settings: {type(error).__name__}: {error}") from None
+
+
+def shown(value: float) -> str:
+    """A weight or level as the platform and its simulator read it, no exponent for the usual sizes."""
+    return f"{value:.9g}" if value else "0"
--- a/onyxhead/wirehost/__main__.py
+++ b/onyxhead/wirehost/__main__.py
@@ -8,7 +8,7 @@
 from typing import Any, TextIO
 
 from onyxhead.brain import Brain
-from onyxhead.interface import Listed
+from onyxhead.interface import Listed, Load
 from onyxhead.settings.instance import NS, Unfit, deployment, load, load_fields
 from onyxhead.wirehost.codec import (
     NEWS,
@@ -94,6 +94,10 @@
             rows.append(listed(values))
         return rows
 
+    def report(self, number: int, told: tuple[float, ...]) -> Load:
+        """A load report, its values in the order that this instance's settings name."""
+        return load(dict(zip(self.fields[number], told, strict=False)))
+
     def call(self, number: int, name: str, values: list[Any], now: int) -> Any:  # noqa: ANN401
         """The call that an event means, its arguments checked; run apart so that faults are told apart."""
         if name == "BEGIN":
@@ -121,7 +125,7 @@
             return lambda: brain.learn_list(now, NEWS[mode], entries)
         if name == "STATS":
             zone, age, backend, bad, mean, tries, told = values
-            report = load(dict(zip(self.fields[number], told, strict=False)))
+            report = self.report(number, told)
             return lambda: brain.learn_tries(now, backend, zone, tries, bad, mean, age, report)
         if name == "INTAKE":
             proxy, group, flows, _bad, age = values
@@ -135,7 +139,7 @@
             return lambda: brain.turn_applied(now, proxy, turn, took)
         if name == "PROBED":
             backend, end, _took, told = values
-            report = load(dict(zip(self.fields[number], told, strict=False)))
+            report = self.report(number, told)
             sight = SIGHTS[end]
             return lambda: sight and brain.learn_probe(now, backend, sight, report)
         # Wake-ups need no more than the pull that follows; peers and slices are told nothing and ask nothing.
--- a/onyxhead/wirehost/codec.py
+++ b/onyxhead/wirehost/codec.py
@@ -22,7 +22,7 @@
     TurnMark,
     Wakeup,
 )
-from onyxhead.settings.instance import NS
+from onyxhead.settings.instance import NS, shown
 
 NEWS = {
     "changes": News.CHANGES,
@@ -163,10 +163,6 @@
     return given
 
 
-def shown(value: float) -> str:
-    return f"{value:.9g}" if value else "0"
-
-
 def bits(groups: tuple[int, ...]) -> int:
     return sum(1 << group for group in groups)
 
