Narrow tables where whole ones for all proxies outlast the grace

A whole table costs 207 lines, 0.23 s of channel, so 100 proxies take 23 s; each joining had up to 82 withdrawals said again to all that were not bound. Ruled out: the node (lag under 7 ms, pulls under 20 ms, no refused message before it), discovery (lists heard within 20 ms). At fault: `_assign` and `_due` in brain.py, which cost a whole table and every old withdrawal for each that joins; `_take_turn`, whose ramps cost a line at every proxy.

Change: departure 8 acts from the first list on where whole tables for all proxies of the settings do not fit into the grace; the width comes from pace, grace and proxies. Proxies are dealt by what comes to them, backends by zone and kind. Whoever joins gets its narrow table in place of old withdrawals, if all that wait fit into half a grace. A backend let back is told only to those whose table has it.

--- a/onyxhead/brain.py
+++ b/onyxhead/brain.py
@@ -48,6 +48,7 @@
 LOOK_TRIES = 12  # so many tries one look at a backend stands for
 UNSTEADY = 0.3  # a smaller change of that part is not worth new lines
 LEAST_QUICK = 0.3  # what takes longer still has most likely a queue, and steps see to that
+NARROWEST = 12  # backends of a table; with fewer, differences of speed no longer even out
 MOST_GONE = 200  # backends that have left and are still known, to be withdrawn again from who held them
 LEAST_LEVEL = 0.2  # no traffic group is shut out whole
 
@@ -117,18 +118,18 @@
 
 
 class Table:
-    def __init__(
-        self, number: int, zones: frozenset[int] | None, home: int | None, groups: list[int], cell: int
-    ) -> None:
+    def __init__(self, number: int, plan: Table | None, zones: frozenset[int] | None, home: int | None,
+                 groups: list[int], cell: int = 0, of: int = 1) -> None:  # fmt: skip
         self.number, self.zones, self.home, self.groups, self.cell = number, zones, home, groups, cell
+        self.plan, self.of = plan or self, of  # so many cells share out what the plan's one holds
         self.gates: dict[int, float] = {}
         self.top, self.able = 1.0, 0.0  # the largest fit of its backends, and what they can do
 
     def takes(self, backend: Backend) -> bool:
-        return self.cell == backend.cell and (self.zones is None or backend.zone in self.zones)
+        return self.cell == backend.cell % self.of and (self.zones is None or backend.zone in self.zones)
 
     def serves(self, proxy: Proxy) -> bool:
-        return self.cell == proxy.cell and self.home in (None, proxy.zone)
+        return self.cell == proxy.cell % self.of and self.home in (None, proxy.zone)
 
 
 class Brain:
@@ -138,6 +139,9 @@
         self.head, self.limit, self.transit = channel.head + 1, channel.most_waiting, channel.slowest_transit
         self.cap, self.cap_span = channel.messages_cap, channel.messages_span
         self.pace = channel.lines_per_s
+        # Whole tables for all proxies, as after the other controllers' deaths, have to fit into the grace.
+        each = self.pace * guards.drain_grace / SECOND / max(1, start.proxies)
+        self.width = max(NARROWEST, each - self.head - 1 - len(start.groups))
         self.grace, self.gather = guards.drain_grace, guards.drain_grace // GATHERED
         self.cold_share, self.cold_time = guards.cold_share, guards.cold_time
         self.patience = 2 * start.report_every + channel.slowest_transit
@@ -147,6 +151,7 @@
         self.backends: dict[str, Backend] = {}
         self.proxies: dict[int, Proxy] = {}
         self.plan = self.tables = _lay_out(start)
+        self.crowded = False
         self.asks, self.ask_at = start.must_subscribe, now
         self.turned = self.looked = now - SECOND
         self.free_at = float(now)
@@ -181,12 +186,12 @@
         unnamed = [known for known in self.backends.values() if known.id not in named]
         gone = [say.Listed(b.id, b.zone, b.kind, False, False, b.weight, b.started) for b in unnamed]
         for entry in [*entries, *gone]:
-            known = self.backends.setdefault(entry.backend, Backend(entry.backend, len(self.backends)))
+            if (known := self.backends.get(entry.backend)) is None:
+                known = self.backends[entry.backend] = Backend(entry.backend, self._emptiest(entry))
             known.zone, known.kind, known.weight = entry.zone, entry.kind, entry.weight or 1.0
             if entry.ready:
                 if not known.ready or known.started != entry.started:
                     known.hear_anew(now)
-                    known.cell %= self.cells
                 known.ready, known.down, known.out_at, known.started = True, False, None, entry.started
             elif not known.down:
                 known.down = True
@@ -247,8 +252,11 @@
             known.since.add(LOOK_TRIES, LOOK_TRIES * failed, known.takes or 0)
 
     def proxy_joined(self, now: int, proxy: int, zone: int, usual: float, standing: bool) -> None:
+        coming = [0.0] * self.cells
+        for other in self.proxies.values():
+            coming[other.cell] += other.usual
         known = self.proxies[proxy] = Proxy(proxy, zone, usual, standing, now)
-        known.rates, known.cell = [usual / len(self.budgets)] * len(self.budgets), proxy % self.cells
+        known.rates, known.cell = [usual / len(self.budgets)] * len(self.budgets), coming.index(min(coming))
 
     def proxy_left(self, now: int, proxy: int) -> None:
         self.proxies.pop(proxy, None)
@@ -323,8 +331,9 @@
     def _due(self, now: int, gather: int) -> list[Backend]:
         # Whole tables for many that join take longer than the grace; so late withdrawals are said again.
         waiting = [p for p in self.proxies.values() if not p.bound and now - p.joined > gather]
-        # A few are sooner given their tables: said again, all who hold an uncleared line hear it once more.
-        if len(waiting) * (self.head + len(self._up())) < self.head * len(self.proxies):
+        # Tables that fit are given sooner: said again, all who hold an uncleared line hear it once more.
+        fits = max(self.head * len(self.proxies), self.pace * self.grace / 2 / SECOND * (self.cells > 1))
+        if len(waiting) * (self.head + len(self._up()) / self.cells) < fits:
             waiting = []
         joined = max((p.joined for p in waiting), default=0)
         since = min((p.joined for p in waiting), default=now) - STALE * self.grace
@@ -374,7 +383,7 @@
         for proxy in sorted(waiting, key=lambda p: (p.held <= lines, not p.standing, -p.usual, p.id)):
             tables = [table for table in self.tables if table.serves(proxy)]
             if not {table.number for table in tables} <= lines:
-                return
+                continue
             known = [(t, b) for t in tables for b in self.backends.values() if t.takes(b)]
             cost = sum((b.lines[t.number] > 0) + (b.shut > 0) for t, b in known)
             cost += sum(1 + len(table.groups) for table in tables)
@@ -424,17 +433,16 @@
         served = all(any(t.takes(b) and b.lines[t.number] for b in usable) for t in self.tables)
         for backend, lines in self._changes(now, served and len(bound) < len(self.proxies)):
             back = backend.shut and backend.ready
-            room -= sum(len(users[number]) for number in lines) + len(bound) * (back > 0)
+            room -= sum(len(users[number]) for number in lines) * (1 + (back > 0))
             if room < 0:
                 break
             for number, weight in lines.items():
-                self._spend(1, users[number])
+                self._spend(1 + (back > 0), users[number])
                 backend.lines[number] = weight
                 backend.versions[number] = self.turn + 1
                 backend.forget(now + self.transit)
                 chosen.setdefault(number, []).append((backend.id, weight))
             if back:
-                self._spend(1, bound)
                 backend.shut = 0
                 yield say.Shutout(backend.id, False)
         for number, sent in chosen.items():
@@ -544,39 +552,53 @@
             left -= rate
         return NO_LIMIT
 
-    def _split(self, now: int, cells: int) -> None:
+    def _split(self, now: int, parts: list[int]) -> None:
         """Deals proxies and backends out to cells with narrow tables of their own, by what comes to each."""
-        self.cells, self.split = cells, now
-        first = self.tables[-1].number + 1
-        laid = [(table, cell) for table in self.plan for cell in range(cells)]
-        self.tables = [Table(first + n, t.zones, t.home, t.groups, c) for n, (t, c) in enumerate(laid)]
+        cells = self.cells = max(parts)
+        self.split, first = now, self.tables[-1].number + 1
+        laid = [(t, cell, of) for t, of in zip(self.plan, parts, strict=True) for cell in range(of)]
+        self.tables = [Table(first + n, t, t.zones, t.home, t.groups, *x) for n, (t, *x) in enumerate(laid)]
         coming, held = [0.0] * cells, [0.0] * cells
         for proxy in sorted(self.proxies.values(), key=lambda p: (-sum(p.rates), p.id)):
             proxy.bound, proxy.cell = False, coming.index(min(coming))
             coming[proxy.cell] += sum(proxy.rates)
         # Warm ones that may serve all groups first: a cell without one leaves its proxies bare.
         wide = {b.id: sum(t.zones is None or b.zone in t.zones for t in self.plan) for b in self._up()}
-        order = [(self._warmth(b, now) < 1, -wide[b.id], b.zone, b.id) for b in self._up()]
+        order = [(self._warmth(b, now) < 1, -wide[b.id], b.zone, b.kind, b.id) for b in self._up()]
         for backend in (self.backends[key[-1]] for key in sorted(order)):
-            backend.cell = max(range(cells), key=lambda c: (held[c] == 0, coming[c] / (held[c] + 1)))
+            backend.cell = max(range(cells), key=lambda c: (held[c] == 0, (coming[c] or 1) / (held[c] + 1)))
             held[backend.cell] += backend.weight
 
+    def _emptiest(self, entry: say.Listed) -> int:
+        """The cell for a newcomer. All need some of each zone, as whole ones are lost, and of each kind."""
+        held = [(0, 0, 0)] * self.cells
+        for b in self._up() if self.cells > 1 else ():
+            zone, kind, all_ = held[b.cell]
+            held[b.cell] = (zone + (b.zone == entry.zone), kind + (b.kind == entry.kind), all_ + 1)
+        return held.index(min(held))
+
     def _crowd(self, now: int) -> None:
-        """Where tries fail everywhere though answers are quick, backends accept too few connections."""
+        """Lays narrow tables: as many as the channel asks for, more where backends accept few connections."""
         up = self._up()
-        bare = not all(any(t.takes(b) and self._warmth(b, now) == 1 for b in up) for t in self.tables)
-        # A cell may lose all its backends where they come and go; then the tables stay whole.
+        ready = {t: [b for b in up if t.zones is None or b.zone in t.zones] for t in self.plan}
+        parts = [max(1, round(len(of) / self.width)) for of in ready.values()]
         left = max((b.out_at or 0 for b in self.backends.values()), default=0)
-        if self.cells > 1 and (bare or left > self.split or now > self.split + CELLS_LAST):
-            self._split(now, 1)
+        # A cell may lose all its backends where they come and go, while another one has some to spare.
+        held = [[self._warmth(b, now) for b in ready[t.plan] if t.takes(b)] for t in self.tables]
+        bare = any(not own and len(ready[t.plan]) >= t.of for t, own in zip(self.tables, held, strict=True))
+        cold = any(1 not in own for own in held) or left > self.split or now > self.split + CELLS_LAST
+        grown = max(parts) >= 2 * self.cells or (bare and now > self.split + self.grace)
+        if cold if self.crowded else grown:
+            self.crowded = False
+            self._split(now, parts)
         quiet = max(self.split + 2 * self.patience, left + self.cold_time)
-        if self.failed > CROWDED and self.slow < OVERLOADED and now > quiet:
+        if self.failed > CROWDED and self.slow < OVERLOADED and now > quiet and not self.crowded:
             # Connections are few, and each split costs all tables again: one backend a cell at once.
             # But each cell needs a warm one for each table.
-            warm = [sum(t.takes(b) and self._warmth(b, now) == 1 for b in up) for t in self.plan]
-            cells = min(*warm, len(self.proxies))
-            if cells > self.cells:
-                self._split(now, cells)
+            warm = (sum(self._warmth(b, now) == 1 for b in of) for of in ready.values())
+            if (cells := min(len(self.proxies), *warm)) > self.cells:
+                self.crowded = True
+                self._split(now, [cells] * len(self.plan))
 
     def _dark(self) -> set[int]:
         """Zones of which no backend answers while another zone's do: a cut, not a fault of each of them."""
@@ -596,7 +618,7 @@
             told = sorted(b.long for b in alike if b.long)
             for backend in (b for b in alike if b.long):
                 # In a cell of one backend its part says nothing, and only costs lines.
-                quick = max(LEAST_QUICK, told[len(told) // 2] / backend.long) if self.cells == 1 else 1.0
+                quick = 1.0 if self.crowded else max(LEAST_QUICK, told[len(told) // 2] / backend.long)
                 quick = min(1.0, quick)
                 # A line costs a head at every proxy, and one word is mostly noise.
                 if abs(quick - backend.quick) > UNSTEADY * backend.quick:
@@ -760,5 +782,5 @@
         for home in range(start.zones) if group.home_zone_only else (None,):
             zones = group.zones if home is None else frozenset((home,)) & (group.zones or frozenset((home,)))
             key = (zones, home)
-            tables.setdefault(key, Table(len(tables), zones, home, [], 0)).groups.append(place)
+            tables.setdefault(key, Table(len(tables), None, zones, home, [])).groups.append(place)
     return list(tables.values())
--- a/onyxhead/node/host.py
+++ b/onyxhead/node/host.py
@@ -181,7 +181,7 @@
 
     def act(self, now: int) -> Work:
         """One pull of the module, as one message for each proxy concerned."""
-        work, drafts, turn = Work(), dict[int, Draft](), 0
+        work, drafts, returning, turn = Work(), dict[int, Draft](), list[str](), 0
         pull = self.brain.decisions(now)
         while True:
             try:
@@ -193,6 +193,8 @@
             match decision:
                 case say.Shutout(backend, shut):
                     self._shut_out(backend, shut, drafts)
+                    if not shut:
+                        returning.append(backend)
                 case say.TableChange(table, lines):
                     self._change(table, lines, drafts)
                 case say.Admission(table, groups, level, tries):
@@ -215,6 +217,11 @@
                     work.subscribe = True
                 case say.Remark(text):
                     work.remarks.append(text)
+        for backend in returning:
+            # Known only now: the line that holds it comes behind the word that it is let back.
+            for proxy, known in self.joined.items():
+                if any(backend in self.tables.get(table, {}) for table in known.bound):
+                    drafts.setdefault(proxy, Draft()).back[backend] = None
         made: dict[tuple[object, ...], Orders] = {}
         for proxy, draft in drafts.items():
             known = self.joined[proxy]
@@ -234,12 +241,11 @@
         else:
             self.shut.pop(backend, None)
             self.returned.add(backend)
-        for proxy, known in self.joined.items():
+        for proxy, known in self.joined.items() if shut else ():
             # Tables that are not of this controller may hold anything.
             holds = any(backend in self.tables.get(table, {}) for table in known.bound)
-            if not known.silent and (holds or not known.bound if shut else known.bound):
-                draft = drafts.setdefault(proxy, Draft())
-                (draft.out if shut else draft.back)[backend] = None
+            if not known.silent and (holds or not known.bound):
+                drafts.setdefault(proxy, Draft()).out[backend] = None
 
     def _change(self, table: int, lines: tuple[tuple[str, float], ...], drafts: dict[int, Draft]) -> None:
         held = self.tables.setdefault(table, {})
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -591,3 +591,43 @@
     rig.run(2)
     assert sum(isinstance(made, say.Shutout) for made in rig.made) == 6
     assert all(proxy.bound for proxy in rig.brain.proxies.values())
+
+
+def test_where_whole_tables_for_all_outlast_the_grace_they_are_narrow_and_a_drain_costs_few() -> None:
+    # 40 proxies may have 25 lines each within the grace: their heads, and 17 backends of the 50.
+    rig = fleet(50, *range(8), proxies=40)
+    rig.run(4)
+    held = {proxy: set(mux.lines()) for proxy, mux in rig.muxes.items()}
+    assert all(12 <= len(lines) <= 20 for lines in held.values())
+    assert set().union(*held.values()) == set(rig.brain.backends)
+    assert all({int(name[1:]) % 3 for name in lines} == {0, 1, 2} for lines in held.values())
+    rig.hear(draining("b7"))
+    rig.pull()
+    assert set(rig.brain.spent) == {proxy for proxy, lines in held.items() if "b7" in lines} != set(held)
+    rig.hear(gone("b7"), ready("b50", started=rig.now - COLD_TIME, zone=1, kind=1))
+    rig.run(4)
+    tables = {frozenset(mux.lines()) for mux in rig.muxes.values()}
+    # A newcomer goes where fewest of its zone are, as whole zones are lost.
+    alike = {table: sum(int(name[1:]) % 3 == 1 for name in table - {"b50"}) for table in tables}
+    assert [alike[table] for table in tables if "b50" in table] == [min(alike.values())]
+
+
+def test_proxies_that_all_come_at_once_in_a_deploy_get_narrow_tables_in_place_of_old_withdrawals() -> None:
+    rig = fleet(50, *range(4), proxies=40)
+    rig.run(4)
+    rig.hear(*(draining(f"b{n}") for n in range(10)))
+    rig.run(2)
+    for proxy in range(4, 30):
+        rig.join(proxy, *(f"b{n}" for n in range(5)))
+    made = rig.run(GRACE / SECOND)
+    assert not any(isinstance(each, say.Shutout) for each in made)
+    assert not any(set(mux.lines()) & {f"b{n}" for n in range(10)} for mux in rig.muxes.values())
+
+
+def test_a_narrow_table_left_with_nothing_is_dealt_anew() -> None:
+    rig = fleet(50, *range(8), proxies=40)
+    rig.run(4)
+    lost = set(rig.muxes[0].lines())
+    rig.hear(*(gone(name) for name in lost))
+    rig.run(2 * GRACE / SECOND)
+    assert all(set(mux.lines()) - lost and not set(mux.lines()) & lost for mux in rig.muxes.values())
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -75,9 +75,10 @@
 class Day:
     """A host and its proxies; messages are applied when they are made, answers come when the test says."""
 
-    def __init__(self, seed: int = 1) -> None:
+    def __init__(self, seed: int = 1, proxies: int = 40) -> None:
         self.now = BEGIN
-        self.host = Host(deployment(SETTINGS), seed, self.now)
+        given = SETTINGS | {"extra": SETTINGS["extra"] | {"agents": proxies}}
+        self.host = Host(deployment(given), seed, self.now)
         self.muxes: dict[int, Mux] = {}
         self.streams: dict[int, int] = {}
         self.next_stream = 0
@@ -217,10 +218,11 @@
     assert len(work.faults) == 1 and "broken" in work.faults[0]
 
 
-def test_on_generated_schedules_proxies_hold_what_the_module_believes() -> None:
+@pytest.mark.parametrize(("backends", "proxies"), [(8, 40), (40, 400)], ids=["one table", "narrow tables"])
+def test_on_generated_schedules_proxies_hold_what_the_module_believes(backends: int, proxies: int) -> None:
     for seed in range(12):
         vary = random.Random(seed)
-        day, names = Day(seed), [f"s{n}" for n in range(8)]
+        day, names = Day(seed, proxies), [f"s{n}" for n in range(backends)]
         day.host.list_heard(day.now, say.News.REMEMBERED, fleet(*names))
         for _ in range(150):
             day.now += vary.randint(40, 6_000)
@@ -245,6 +247,7 @@
                 day.host.hush(day.now)
             day.act()
         day.run(25)
+        assert (day.host.brain.cells > 1) == (backends > 8)
         tables = day.host.tables
         for proxy in day.streams:
             mux, known = day.muxes[proxy], day.host.joined[proxy]
