What is owed at an end is told first: joinings, half-read lists, orders, the last pull

Read first now, in one place, `_give_up`. `_accept` also ended one stranger too many, before it knew that anybody waited; it accepts first. - `discovery.py` `move` cancelled the open call, and with it an answer half read that counts as told. Calls now end by themselves, at most three at a time; what two of them tell is told once and never backwards. - `_run` ended for good on any fault but four kinds, unseen (a fault of those told, of the HTTP library). All are told, the whole list is asked for, and a watch that dies is started again by its owner. The revision is booked after the list, not before. - `serve.py` `_pull` lost the messages of all proxies behind one that could not be encoded, though the module had booked them; now that stream alone ends and joins anew. `host.py` `act` lost a pull's decisions when one could not be booked; the others hold. - SIGTERM dropped what was heard and not yet pulled, and what was written and unread became a reset: one last pull, then up to 0.3 s for peers to take it. The next wake is set before messages are written. - A timer's or task's fault went to the library's own log; it is counted and told in ours. - A look that outlived its backend (moved or restarted meanwhile) was booked for the successor.

--- a/onyxhead/node/discovery.py
+++ b/onyxhead/node/discovery.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import random
 from collections.abc import Callable
 
@@ -19,10 +18,15 @@
 PAUSE = 0.25
 PAUSE_MOST = 1.0
 MOST_LIST = 4 * 1024 * 1024
+MOST_CALLS = 3
+"""Calls open at a time, at addresses left and new; descriptors are few."""
 
 
 class Watch:
-    """`heard` gets every list that says something new; `failed` each fault. `move` follows another address at once."""
+    """`heard` gets every list that says something new; `failed` each fault. `move` follows another address at once.
+
+    Only `stop` ends an open call: what an answer holds counts as told once it is written, so one that is half read is
+    read to its end, also after a move. Calls at an address that was left are not renewed once the new one answers."""
 
     def __init__(
         self,
@@ -35,41 +39,64 @@
         self.address, self.names, self.heard, self.failed = address, names, heard, failed
         self.vary = random.Random(seed).uniform
         self.revision: int | None = None
-        self.task: asyncio.Task[None] | None = None
+        self.answered = False  # at the current address, since the move there
+        self.current: asyncio.Task[None] | None = None
+        self.tasks: dict[asyncio.Task[None], None] = {}  # by age; all but the current one end by themselves
 
     def start(self) -> None:
-        self.task = asyncio.get_running_loop().create_task(self._run())
+        self.current = asyncio.get_running_loop().create_task(self._run(self.address))
+        self.tasks[self.current] = None
+        self.current.add_done_callback(self._over)
+        for task in list(self.tasks)[:-MOST_CALLS]:
+            task.cancel()
 
     def move(self, address: tuple[str, int]) -> None:
-        """Asks there from now on, for what is newer than what is known; the open call is given up."""
-        if self.task is not None:
-            self.task.cancel()
-        self.address = address
+        """Asks there from now on, for what is newer than what is known."""
+        self.address, self.answered = address, False
         self.start()
 
-    async def _run(self) -> None:
+    def _over(self, task: asyncio.Task[None]) -> None:
+        del self.tasks[task]
+        if task is self.current and not task.cancelled():
+            # Nobody else would notice: lists would stop for good.
+            self.failed(f"the watch ended: {task.exception()!r}")
+            asyncio.get_running_loop().call_later(PAUSE_MOST, self._start_again, task)
+
+    def _start_again(self, task: asyncio.Task[None]) -> None:
+        if self.current is task:
+            self.start()
+
+    def _left(self) -> bool:
+        """Whether another call has taken over from the one that asks."""
+        return asyncio.current_task() is not self.current and self.answered
+
+    async def _run(self, address: tuple[str, int]) -> None:
         pause = PAUSE
         while True:
             try:
-                await self._follow()
+                await self._follow(address)
             except TimeoutError:
                 self.failed("no answer in time")
-            except (OSError, Fault, Unlisted) as error:
+            except (OSError, Fault) as error:
                 self.failed(str(error))
-                if isinstance(error, Unlisted):
-                    # What was missed can't be told from such an answer; the whole list tells.
-                    self.revision = None
+            except Exception as error:
+                # What was missed can't be told from such an answer, or is not booked for a fault of ours; the whole
+                # list tells.
+                self.revision = None
+                self.failed(str(error) if isinstance(error, Unlisted) else repr(error))
             else:
                 pause = PAUSE
+            if asyncio.current_task() is not self.current:
+                return
             await asyncio.sleep(self.vary(0.5, 1.0) * pause)
             pause = min(PAUSE_MOST, 1.5 * pause)
 
-    async def _follow(self) -> None:
-        """One connection, until it fails."""
+    async def _follow(self, address: tuple[str, int]) -> None:
+        """One connection, until it fails or is no longer needed."""
         async with asyncio.timeout(SLACK):
-            connection = await Connection.open(*self.address)
+            connection = await Connection.open(*address)
         async with connection:
-            while connection.usable:
+            while connection.usable and not self._left():
                 asked = self.revision
                 wait = 0.0 if asked is None else WAIT_MS / 1000
                 target = LIST if asked is None else f"{LIST}?index={asked}&wait={WAIT_MS}"
@@ -82,12 +109,15 @@
                     raise Unlisted(f"revision {listing.revision} after {asked}")
                 if asked is None and not listing.whole:
                     raise Unlisted("changes where the whole list was asked for")
-                self.revision = listing.revision
+                self.answered |= asyncio.current_task() is self.current
+                if self.revision not in (None, asked) and listing.revision <= self.revision:
+                    continue  # another call has told as much meanwhile
                 if listing.whole or listing.entries:
                     self.heard(listing)
+                self.revision = listing.revision
 
     async def stop(self) -> None:
-        if self.task is not None:
-            self.task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self.task
+        tasks, self.current = list(self.tasks), None
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- a/onyxhead/node/host.py
+++ b/onyxhead/node/host.py
@@ -187,36 +187,11 @@
             try:
                 if (decision := next(pull, None)) is None:
                     break
-            except Exception as error:  # a fault of the module must not end the streams; what it decided still holds
+                turn = self._carry(decision, work, drafts, returning) or turn
+            except Exception as error:
+                # A fault of the module ends its pull, one of ours this decision alone: the others still hold, since the
+                # module has booked them as ordered and says them to nobody again.
                 work.faults.append(place(error))
-                break
-            match decision:
-                case say.Shutout(backend, shut):
-                    self._shut_out(backend, shut, drafts)
-                    if not shut:
-                        returning.append(backend)
-                case say.TableChange(table, lines):
-                    self._change(table, lines, drafts)
-                case say.Admission(table, groups, level, tries):
-                    own = Level(groups, level, tries)
-                    self.levels.setdefault(table, {})[groups] = own
-                    for proxy in self._users(table):
-                        drafts.setdefault(proxy, Draft()).levels.append(own)
-                case say.Assignment(proxy, table, groups) if proxy in self.joined:
-                    self._bind(proxy, table, groups, drafts.setdefault(proxy, Draft()))
-                case say.TurnMark(turn, _):
-                    # Whoever the module counts a message for gets one, also where it only asks for an answer.
-                    for proxy in self.brain.spent:
-                        if proxy in self.joined:
-                            drafts.setdefault(proxy, Draft())
-                case say.Probe(backend):
-                    work.probes.append(backend)
-                case say.Wakeup(after):
-                    work.wake = after
-                case say.Subscribe():
-                    work.subscribe = True
-                case say.Remark(text):
-                    work.remarks.append(text)
         for backend in returning:
             # Known only now: the line that holds it comes behind the word that it is let back.
             for proxy, known in self.joined.items():
@@ -231,6 +206,38 @@
             work.orders.append((proxy, known.stream, made.setdefault(orders, orders)))
         return work
 
+    def _carry(self, decision: say.Decision, work: Work, drafts: dict[int, Draft], returning: list[str]) -> int:
+        """Books one decision; returns the turn if it is a turn mark."""
+        match decision:
+            case say.Shutout(backend, shut):
+                self._shut_out(backend, shut, drafts)
+                if not shut:
+                    returning.append(backend)
+            case say.TableChange(table, lines):
+                self._change(table, lines, drafts)
+            case say.Admission(table, groups, level, tries):
+                own = Level(groups, level, tries)
+                self.levels.setdefault(table, {})[groups] = own
+                for proxy in self._users(table):
+                    drafts.setdefault(proxy, Draft()).levels.append(own)
+            case say.Assignment(proxy, table, groups) if proxy in self.joined:
+                self._bind(proxy, table, groups, drafts.setdefault(proxy, Draft()))
+            case say.TurnMark(turn, _):
+                # Whoever the module counts a message for gets one, also where it only asks for an answer.
+                for proxy in self.brain.spent:
+                    if proxy in self.joined:
+                        drafts.setdefault(proxy, Draft())
+                return turn
+            case say.Probe(backend):
+                work.probes.append(backend)
+            case say.Wakeup(after):
+                work.wake = after
+            case say.Subscribe():
+                work.subscribe = True
+            case say.Remark(text):
+                work.remarks.append(text)
+        return 0
+
     def _users(self, table: int) -> list[int]:
         return [proxy for proxy, known in self.joined.items() if table in known.bound]
 
--- a/onyxhead/node/links.py
+++ b/onyxhead/node/links.py
@@ -27,6 +27,7 @@
 """Bytes that one peer may leave unread on top of what the kernel holds."""
 MOST_UNSENT_STRANGER = 4096
 PAUSE = 0.05
+TICK = 0.01
 
 
 class Link:
@@ -133,22 +134,41 @@
         host, port = listener.getsockname()[:2]
         return str(host), int(port)
 
-    def close(self) -> None:
+    async def finish(self, seconds: float) -> None:
+        """Takes nobody any more, lets peers take what was written, and closes; waits for so long at the most."""
         if self.sweeping is not None:
             self.sweeping.cancel()
         if self.listener is not None:
             self.loop.remove_reader(self.listener)
             self.listener.close()
+        ends, told = self.loop.time() + seconds, set[int]()
+        for link in self.links.values():
+            self.loop.add_reader(link.sock, self._discard, link)
+        while self.links and self.loop.time() < ends:
+            for link in self.links.values():
+                if not link.unsent and link.number not in told:
+                    told.add(link.number)
+                    with contextlib.suppress(OSError):
+                        link.sock.shutdown(socket.SHUT_WR)
+            await asyncio.sleep(TICK)
         for link in list(self.links.values()):
             self._forget(link)
 
+    def _discard(self, link: Link) -> None:
+        """What comes now is for another controller; left unread, it would turn the end into a reset, which loses what
+        the peer has yet to take."""
+        try:
+            over = not link.sock.recv(CHUNK)
+        except BlockingIOError:
+            return
+        except OSError:
+            over = True
+        if over:
+            self._forget(link)
+
     def _accept(self) -> None:
         assert self.listener is not None
         for _ in range(AT_ONCE):
-            if len(self.links) >= self.most and self.strangers:
-                oldest = next(iter(self.strangers.values()))
-                self.counts["crowded out"] += 1
-                self.end(oldest, "crowded out before joining")
             try:
                 sock, _ = self.listener.accept()
             except BlockingIOError:
@@ -159,6 +179,8 @@
                 self.loop.remove_reader(self.listener)
                 self.loop.call_later(PAUSE, self._listen_again)
                 return
+            while len(self.links) >= self.most and self.strangers:
+                self._give_up(next(iter(self.strangers.values())), "crowded out")
             if len(self.links) >= self.most:
                 # All that are open have joined, and none of them goes for a stranger's sake.
                 self.counts["no room"] += 1
@@ -180,8 +202,15 @@
         self.sweeping = self.loop.call_later(SWEEP, self._sweep)
         late = self.loop.time() - PATIENCE
         for link in [link for link in self.strangers.values() if link.began <= late]:
-            self.counts["never joined"] += 1
-            self.end(link, "did not join in time")
+            self._give_up(link, "never joined")
+
+    def _give_up(self, link: Link, why: str) -> None:
+        """Ends one that has not joined, unless its joining lies in the kernel: after a slow moment of this process, or
+        among many that come at once, it was said in time and is only not read yet."""
+        link.read()
+        if link.number in self.strangers:
+            self.counts[why] += 1
+            self.end(link, why)
 
     def reject(self, link: Link, why: str) -> None:
         """A last word, then the end."""
--- a/onyxhead/node/probes.py
+++ b/onyxhead/node/probes.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
 
 from onyxhead.fronts.streams.messages import Spoilt, load_told
 from onyxhead.http.client import Connection
@@ -38,19 +38,20 @@
 class Probes:
     """Runs the looks that the module orders, each backend once at a time, so many in all."""
 
-    def __init__(self, path: str, seen: Callable[[str, Sight, Load], None]) -> None:
+    def __init__(self, path: str, seen: Callable[[str, Hashable, Sight, Load], None]) -> None:
         self.path, self.seen = path, seen
         self.room = asyncio.Semaphore(AT_ONCE)
         self.running: dict[str, asyncio.Task[None]] = {}
 
-    def start(self, backend: str, address: tuple[str, int]) -> None:
+    def start(self, backend: str, address: tuple[str, int], life: Hashable) -> None:
+        """`life` comes back with what was seen, so that it is not booked for a successor of the same name."""
         if backend not in self.running:
-            self.running[backend] = asyncio.get_running_loop().create_task(self._look(backend, address))
+            self.running[backend] = asyncio.get_running_loop().create_task(self._look(backend, address, life))
 
-    async def _look(self, backend: str, address: tuple[str, int]) -> None:
+    async def _look(self, backend: str, address: tuple[str, int], life: Hashable) -> None:
         try:
             async with self.room:
                 sight, load = await look(address, self.path)
         finally:
             self.running.pop(backend, None)
-        self.seen(backend, sight, load)
+        self.seen(backend, life, sight, load)
--- a/onyxhead/node/serve.py
+++ b/onyxhead/node/serve.py
@@ -7,8 +7,9 @@
 import signal
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
 from pathlib import Path
+from typing import Any
 
 import onyxhead.interface as say
 from onyxhead.controller.clock import Clock
@@ -29,6 +30,8 @@
 LOOK = 0.25
 """Seconds between looks at silent streams, and by which the loop's lag is measured."""
 FIGURES = 5.0
+LAST = 0.3
+"""Seconds to the end, after SIGTERM, in which peers may still take what was written; the platform kills after 0.7."""
 IDLE = 1.0
 """Seconds after which the module is asked again whatever it said: a fault must not put it to sleep for good."""
 
@@ -69,6 +72,7 @@
         if not self.given.deployment.must_subscribe:
             self._follow()
         self.stir()
+        self.loop.set_exception_handler(self._unhandled)
         self.loop.call_later(LOOK, self._look, self.loop.time() + LOOK)
         self.loop.call_later(FIGURES, self._figures)
         # What was loaded stays; collections then look only at what is made in service.
@@ -76,8 +80,12 @@
         gc.freeze()
         await self.over.wait()
         self.notes.say("ending", name=self.given.name)
-        self.door.close()
         await self.watch.stop()
+        if self.waiting is not None:
+            # What was heard and not yet told is owed to those that are joined; no pull comes after this one.
+            self.waiting.cancel()
+            self._pull()
+        await self.door.finish(LAST)
 
     def _remember(self) -> None:
         if self.given.known is None:
@@ -112,6 +120,11 @@
         if moved and self.watching:
             self.watch.move(given.discovery)
 
+    def _unhandled(self, _: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """A timer or task of ours raised. Timers set their next turn before they work, so only this one is lost."""
+        error = context.get("exception")
+        self._fault("fault in a callback", place(error) if isinstance(error, Exception) else str(context["message"]))
+
     def _fault(self, event: str, where: str) -> None:
         """A fault of ours is told once a place, not each time, and ends nothing."""
         self.counts["faults"] += 1
@@ -203,7 +216,15 @@
             self.host.list_refused(self.clock.now())
             self.stir()
 
-    def probed(self, backend: str, sight: say.Sight, load: say.Load) -> None:
+    def _life(self, backend: str) -> Hashable:
+        """Where a backend is and since when: another one may come under its name while a look is under way."""
+        listed = self.host.listed.get(backend)
+        return self.places.get(backend), listed.started if listed else 0
+
+    def probed(self, backend: str, life: Hashable, sight: say.Sight, load: say.Load) -> None:
+        if life != self._life(backend):
+            self.counts["probe outlived"] += 1
+            return
         self.counts[f"probe {sight.name.lower()}"] += 1
         try:
             self.host.probed(self.clock.now(), backend, sight, load)
@@ -228,27 +249,33 @@
             self._fault("fault in a pull", place(error))
             self._wake(IDLE)
             return
+        if work.wake is not None:
+            self._wake(work.wake / TENTHS)
         encoded: dict[int, bytes] = {}
         for proxy, stream, orders in work.orders:
             link = self.proxies.get(proxy)
             if link is None or link.number != stream:
                 continue
-            if (message := encoded.get(id(orders))) is None:
-                message = encoded[id(orders)] = self.encoder.message(orders)
+            try:
+                if (message := encoded.get(id(orders))) is None:
+                    message = encoded[id(orders)] = self.encoder.message(orders)
+                link.send(message)
+            except Exception as error:
+                # The module has booked it as sent, and says it to nobody again: this stream alone has to join anew.
+                self._fault("fault in a message to a proxy", place(error))
+                self.door.end(link, "its orders could not be written")
+                continue
             self.counts["messages"] += 1
             self.counts["lines"] += orders.lines
-            link.send(message)
         for backend in work.probes:
             if (where := self.places.get(backend)) is not None:
-                self.probes.start(backend, where)
+                self.probes.start(backend, where, self._life(backend))
         for fault in work.faults:
             self._fault("fault in the module", fault)
         for text in work.remarks:
             self.notes.say("remark", text=text)
         if work.subscribe:
             self._follow()
-        if work.wake is not None:
-            self._wake(work.wake / TENTHS)
         took = self.loop.time() - began
         self.longest, self.busy = max(self.longest, took), self.busy + took
         self.counts["pulls"] += 1
--- /dev/null
+++ b/tests/test_endings.py
@@ -0,0 +1,366 @@
+"""What is still owed where something ends: each bad order of events is forced, on real connections."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import socket
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+import onyxhead.interface as say
+from onyxhead.fronts.streams.orders import rejected
+from onyxhead.fronts.streams.resp import Words, framed
+from onyxhead.node import start as starting
+from onyxhead.node.discovery import Watch
+from onyxhead.node.links import Door, Link
+from onyxhead.node.listing import Listing, Names
+from onyxhead.node.notes import Notes
+from onyxhead.node.serve import Node
+from tests.test_node import SETTINGS, Client, Platform, Running, config, free_port, running
+
+JOINING = b"attach proxy %d zone a weight 5.0 fresh 1"
+
+
+def members(*phases: str) -> list[dict[str, Any]]:
+    usual = {"host_port": "127.0.0.1:1", "up_since_ms": 0, "locality": "a", "size": 1.0}
+    return [usual | {"id": f"s-{n}", "phase": phase} for n, phase in enumerate(phases)]
+
+
+def answer(revision: int, whole: bool, *phases: str) -> bytes:
+    body = json.dumps({"revision": revision, "complete": whole, "members": members(*phases)}).encode()
+    return b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%b" % (len(body), body)
+
+
+Reply = Callable[[bytes, asyncio.StreamWriter], Any]
+
+
+@asynccontextmanager
+async def discovery(reply: Reply) -> AsyncIterator[tuple[str, int]]:
+    """Hands each request's target to `reply`, which writes what it likes."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                await reply((await reader.readuntil(b"\r\n\r\n")).split(b" ")[1], writer)
+        except (asyncio.IncompleteReadError, OSError):
+            writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    try:
+        yield server.sockets[0].getsockname()[:2]
+    finally:
+        server.close()
+
+
+@asynccontextmanager
+async def node_here(path: Path, **settings: object) -> AsyncIterator[tuple[Node, Running]]:
+    """A node in this process, so that a test may put a fault into it."""
+    platform = Platform()
+    where = f"127.0.0.1:{await platform.start()}"
+    port, file = free_port(), path / "config.json"
+    given = config(listen=f"127.0.0.1:{port}", discovery=where, settings=SETTINGS | settings)
+    file.write_text(json.dumps(given))
+    node = Node(starting.read(file), file, Notes((path / "log").open("w")))
+    serving = asyncio.get_running_loop().create_task(node.run())
+    try:
+        async with asyncio.timeout(30):
+            while not node.counts["lists"]:
+                await asyncio.sleep(0)
+            yield node, Running(None, port, file, platform)  # type: ignore[arg-type]
+    finally:
+        node.over.set()
+        await serving
+        assert platform.server is not None
+        platform.server.close()
+
+
+# Connections that are given up
+
+
+class Heard:
+    """A listener whose connections join with their first message; the loop does not run between its steps."""
+
+    def __init__(self, most: int) -> None:
+        self.joined: list[Words] = []
+        self.ended: list[str] = []
+        self.door = Door(most, self.heard, lambda link, why: self.ended.append(why), rejected)
+        self.address = self.door.open(("127.0.0.1", 0))
+
+    def heard(self, link: Link, words: Words) -> None:
+        link.join()
+        self.joined.append(words)
+
+    def dial(self, data: bytes = b"") -> socket.socket:
+        client = socket.create_connection(self.address)
+        client.sendall(data)
+        return client
+
+
+def test_a_joining_that_lies_unread_when_its_time_is_over_is_read_first(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play() -> None:
+        heard = Heard(4)
+        good, mute = heard.dial(framed([b"hello"])), heard.dial()
+        heard.door._accept()
+        monkeypatch.setattr("onyxhead.node.links.PATIENCE", -1.0)  # as after a slow moment between accept and read
+        heard.door._sweep()
+        assert heard.joined == [(b"hello",)] and heard.ended == ["never joined"]
+        assert mute.recv(1) == b""
+        good.close()
+        await heard.door.finish(0)
+
+    asyncio.run(play())
+
+
+def test_a_joining_that_lies_unread_is_not_crowded_out_by_those_that_come_behind_it() -> None:
+    async def play() -> None:
+        heard = Heard(3)
+        clients = [heard.dial(framed([b"hello"])), heard.dial(), heard.dial(), heard.dial()]
+        heard.door._accept()
+        assert heard.joined == [(b"hello",)] and heard.ended == ["crowded out"]
+        assert clients[1].recv(1) == b""
+        await heard.door.finish(0)
+
+    asyncio.run(play())
+
+
+def test_a_proxy_that_joins_and_leaves_in_one_read_is_left(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with node_here(tmp_path) as (node, here):
+            for data in (framed((JOINING % 3).split(b" ")), framed((JOINING % 3).split(b" ")) + framed([b"hb"]) + b"*"):
+                client = await here.dial()
+                client.writer.write(data)
+                client.writer.write_eof()
+                while await client.hear() is not None:
+                    pass
+                client.writer.close()
+            while node.host.counts["left"] < 2:
+                await asyncio.sleep(0)
+            assert not node.host.joined and not node.proxies and not node.by_link and not node.host.brain.proxies
+
+    asyncio.run(play())
+
+
+# Watches
+
+
+def test_an_answer_half_read_at_the_old_address_still_counts_after_a_move(tmp_path: Path) -> None:
+    async def play() -> None:
+        moved, mute = asyncio.Event(), asyncio.Event()
+
+        async def old(target: bytes, writer: asyncio.StreamWriter) -> None:
+            if b"index" not in target:
+                writer.write(answer(7, True, "SERVING", "SERVING"))
+                return
+            whole = answer(8, False, "DRAINING")
+            writer.write(whole[:-9])
+            await writer.drain()
+            half.set()
+            await moved.wait()
+            writer.write(whole[-9:])
+
+        async def silent(target: bytes, writer: asyncio.StreamWriter) -> None:
+            asked.append(target)
+            mute.set()
+
+        half, asked = asyncio.Event(), list[bytes]()
+        heard: asyncio.Queue[Listing] = asyncio.Queue()
+        names = Names({"a": 0}, {}, round)
+        async with discovery(old) as before, discovery(silent) as after, asyncio.timeout(30):
+            watch = Watch(before, names, heard.put_nowait, lambda why: None, 1)
+            watch.start()
+            assert (await heard.get()).revision == 7
+            await half.wait()
+            watch.move(after)
+            await mute.wait()
+            moved.set()
+            told = await heard.get()
+            assert told.revision == 8 and told.entries[0].draining and b"index=7" in asked[0]
+            await watch.stop()
+
+    asyncio.run(play())
+
+
+def test_what_two_calls_both_tell_is_told_once_and_never_backwards() -> None:
+    async def play() -> None:
+        later = asyncio.Event()
+
+        async def old(target: bytes, writer: asyncio.StreamWriter) -> None:
+            if b"index" not in target:
+                writer.write(answer(7, True, "SERVING"))
+            elif b"index=7" in target:
+                await later.wait()
+                writer.write(answer(8, False, "SERVING"))
+
+        async def new(target: bytes, writer: asyncio.StreamWriter) -> None:
+            asked.append(target)
+            if b"index=7" in target:
+                writer.write(answer(9, False, "DRAINING"))
+
+        asked, seen = list[bytes](), list[tuple[int, bool]]()
+        names = Names({"a": 0}, {}, round)
+        async with discovery(old) as before, discovery(new) as after, asyncio.timeout(30):
+            watch = Watch(before, names, lambda found: seen.append((found.revision, found.entries[0].draining)), print, 1)
+            watch.start()
+            while not seen:
+                await asyncio.sleep(0)
+            first = watch.current
+            watch.move(after)
+            while len(seen) < 2:
+                await asyncio.sleep(0)
+            later.set()
+            assert first is not None
+            await first  # it is not renewed, and ends by itself
+            assert seen == [(7, False), (9, True)] and list(watch.tasks) == [watch.current]
+            await watch.stop()
+
+    asyncio.run(play())
+
+
+def test_a_watch_outlives_a_fault_of_those_it_tells() -> None:
+    async def play() -> None:
+        async def reply(target: bytes, writer: asyncio.StreamWriter) -> None:
+            asked.append(target)
+            if b"index" not in target:
+                writer.write(answer(7, True, "SERVING"))
+
+        def heard(found: Listing) -> None:
+            seen.append(found)
+            if len(seen) == 1:
+                raise KeyError("a fault of ours")
+
+        def failed(why: str) -> None:
+            told.append(why)
+            if len(told) == 1:
+                raise RuntimeError("and another one")
+
+        asked, seen, told = list[bytes](), list[Listing](), list[str]()
+        async with discovery(reply) as address, asyncio.timeout(30):
+            watch = Watch(address, Names({"a": 0}, {}, round), heard, failed, 1)
+            watch.start()
+            while len(seen) < 2:
+                await asyncio.sleep(0.01)
+            # What it could not book is told again, whole.
+            assert asked[:2] == [b"/v1/servers"] * 2
+            assert "KeyError" in told[0] and "the watch ended" in told[1]
+            await watch.stop()
+
+    asyncio.run(play())
+
+
+# Pulls and what they write
+
+
+def test_orders_that_can_not_be_written_to_one_proxy_reach_the_others(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with node_here(tmp_path) as (node, here):
+            proxies: list[Client] = []
+            for number in (3, 4):
+                proxies.append(await here.dial((JOINING % number).decode()))
+                table = await proxies[-1].until(lambda m: "rows" in m)
+                proxies[-1].say(f"done proxy {number} mark {table['stamp']} took_ms 1")
+            encode, faults = node.encoder.message, [ValueError("65 parts in one message")]
+
+            def message(orders: Any) -> bytes:
+                if orders.out and faults:
+                    raise faults.pop()
+                return encode(orders)
+
+            node.encoder.message = message  # type: ignore[method-assign]
+            here.platform.change(0, phase="DRAINING")
+            # The first of them must join anew; the other one is told at once.
+            assert (await proxies[1].until(lambda m: "drop" in m))["drop"] == "s-0"
+            while await proxies[0].hear() is not None:
+                pass
+            again = await here.dial((JOINING % 3).decode())
+            assert (await again.until(lambda m: "rows" in m)).get("drop") == "s-0"
+            assert node.counts["faults"] == 1
+
+    asyncio.run(play())
+
+
+def test_a_decision_that_can_not_be_booked_takes_no_other_with_it(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with node_here(tmp_path) as (node, here):
+            proxy = await here.dial((JOINING % 3).decode())
+            table = await proxy.until(lambda m: "rows" in m)
+            proxy.say(f"done proxy 3 mark {table['stamp']} took_ms 1")
+            decide, unfit = node.host.brain.decisions, [say.TableChange(0, None)]  # type: ignore[arg-type]
+
+            def decisions(now: int) -> Any:
+                made = list(decide(now))
+                yield from made
+                if unfit and any(isinstance(each, say.Shutout) for each in made):
+                    yield unfit.pop()
+
+            node.host.brain.decisions = decisions  # type: ignore[method-assign]
+            here.platform.change(0, phase="DRAINING")
+            assert (await proxy.until(lambda m: "drop" in m))["drop"] == "s-0"
+            assert node.counts["faults"] == 1
+
+    asyncio.run(play())
+
+
+def test_what_was_heard_before_the_end_is_told_before_it(tmp_path: Path) -> None:
+    async def play() -> None:
+        # Two seconds between pulls: the end comes after the list and before the pull that would tell of it.
+        async with running(tmp_path, settings=SETTINGS | {"roundNs": 2_000_000_000}) as node:
+            proxy = await node.dial((JOINING % 3).decode())
+            table = await proxy.until(lambda m: "rows" in m)
+            proxy.say(f"done proxy 3 mark {table['stamp']} took_ms 1")
+            node.platform.change(0, phase="DRAINING")
+            assert (await node.logged("list"))["revision"] == 8
+            node.process.send_signal(signal.SIGTERM)
+            assert (await proxy.until(lambda m: "drop" in m))["drop"] == "s-0"
+            assert await proxy.hear() is None and await node.process.wait() == 0
+
+    asyncio.run(play())
+
+
+def test_a_timer_that_raises_comes_again_and_is_counted(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("onyxhead.node.serve.LOOK", 0.01)
+
+    async def play() -> None:
+        async with node_here(tmp_path) as (node, _):
+            faults = [KeyError("a fault of ours")]
+            calls: list[int] = []
+
+            def hush(now: int) -> list[int]:
+                calls.append(now)
+                if faults:
+                    raise faults.pop()
+                return []
+
+            node.host.hush = hush  # type: ignore[method-assign]
+            while len(calls) < 3:
+                await asyncio.sleep(0.01)
+            assert node.counts["faults"] == 1
+
+    asyncio.run(play())
+
+
+def test_a_look_at_a_backend_that_has_made_room_for_another_tells_nothing_of_that_one(tmp_path: Path) -> None:
+    async def play() -> None:
+        open_looks: asyncio.Queue[asyncio.StreamWriter] = asyncio.Queue()
+
+        async def backend(target: bytes, writer: asyncio.StreamWriter) -> None:
+            open_looks.put_nowait(writer)
+
+        async with discovery(backend) as (host, port), node_here(tmp_path) as (node, here):
+            here.platform.change(0, host_port=f"{host}:{port}")
+            look = await open_looks.get()
+            here.platform.change(0, host_port="127.0.0.1:1")
+            while node.places["s-0"][1] != 1:
+                await asyncio.sleep(0)
+            before = node.counts["probe served"]
+            look.write(b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n")
+            while not node.counts["probe outlived"]:
+                await asyncio.sleep(0)
+            assert not node.host.brain.backends["s-0"].unseen and node.counts["probe served"] >= before
+
+    asyncio.run(play())
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -511,11 +511,11 @@
 
 
 @asynccontextmanager
-async def running(path: Path, sockets: int = 128) -> AsyncIterator[Running]:
+async def running(path: Path, sockets: int = 128, **other: object) -> AsyncIterator[Running]:
     platform, port = Platform(), free_port()
     discovery = await platform.start()
     file = path / "config.json"
-    given = config(listen=f"127.0.0.1:{port}", discovery=f"127.0.0.1:{discovery}", limits={"sockets": sockets})
+    given = config(listen=f"127.0.0.1:{port}", discovery=f"127.0.0.1:{discovery}", limits={"sockets": sockets}, **other)
     file.write_text(json.dumps(given))
     told = {"BALANCER_NAME": "n0", "BALANCER_LISTEN": given["listen"], "BALANCER_DISCOVERY": given["discovery"]}
     process = await asyncio.create_subprocess_exec(
