--- a/onyxhead/fronts/streams/messages.py
+++ b/onyxhead/fronts/streams/messages.py
@@ -30,7 +30,7 @@
 """What load reports call their values, by the names of the settings."""
 
 
-class Spoilt(ValueError):
+class InvalidMessage(ValueError):
     """One message has no meaning; those round it have. The text names the field."""
 
 
@@ -58,20 +58,20 @@
 
 
 def read(words: Words, known: Known) -> tuple[Said, tuple[Any, ...]]:
-    """What one message says. Raises Spoilt."""
+    """What one message says. Raises InvalidMessage."""
     if (reader := READERS.get(words[0])) is None:
-        raise Spoilt(f"kind {words[0][:32]!r} is not taken here")
+        raise InvalidMessage(f"kind {words[0][:32]!r} is not taken here")
     fields: Fields = {}
     for place in range(1, len(words) - 1, 2):
         if words[place] in fields:
-            raise Spoilt(f"{_shown(words[0])}: {_shown(words[place])} is told twice")
+            raise InvalidMessage(f"{_shown(words[0])}: {_shown(words[place])} is told twice")
         fields[words[place]] = words[place + 1]
     if len(words) % 2 == 0:
-        raise Spoilt(f"{_shown(words[0])}: a name without its value")
+        raise InvalidMessage(f"{_shown(words[0])}: a name without its value")
     try:
         return reader(fields, known)
-    except Spoilt as error:
-        raise Spoilt(f"{_shown(words[0])}: {error}") from None
+    except InvalidMessage as error:
+        raise InvalidMessage(f"{_shown(words[0])}: {error}") from None
 
 
 def _shown(word: bytes) -> str:
@@ -80,14 +80,14 @@
 
 def _field(fields: Fields, name: bytes) -> bytes:
     if (value := fields.get(name)) is None:
-        raise Spoilt(f"{_shown(name)} is missing")
+        raise InvalidMessage(f"{_shown(name)} is missing")
     return value
 
 
 def _count(fields: Fields, name: bytes, most: int) -> int:
     value = _field(fields, name)
     if not COUNT.fullmatch(value) or int(value) > most:
-        raise Spoilt(f"{_shown(name)} {_shown(value)!r} is no whole number from 0 to {most}")
+        raise InvalidMessage(f"{_shown(name)} {_shown(value)!r} is no whole number from 0 to {most}")
     return int(value)
 
 
@@ -98,7 +98,7 @@
 def _number(name: bytes, value: bytes, most: float) -> float:
     # float() alone would take nan, infinity and underscores.
     if not FIGURE.fullmatch(value) or not 0 <= (figure := float(value)) <= most:
-        raise Spoilt(f"{_shown(name)} {_shown(value)!r} is no figure from 0 to {most:g}")
+        raise InvalidMessage(f"{_shown(name)} {_shown(value)!r} is no figure from 0 to {most:g}")
     return figure
 
 
@@ -110,7 +110,7 @@
     value = _field(fields, name)
     place = among.get(value.decode("utf-8", "replace"))
     if place is None:
-        raise Spoilt(f"{_shown(name)} {_shown(value)!r} does not exist")
+        raise InvalidMessage(f"{_shown(name)} {_shown(value)!r} does not exist")
     return place
 
 
@@ -136,7 +136,7 @@
 def _tries(fields: Fields, known: Known) -> tuple[Said, tuple[Any, ...]]:
     backend = _field(fields, b"server").decode("utf-8", "replace")
     if backend not in known.backends:
-        raise Spoilt(f"server {backend[:32]!r} was never listed")
+        raise InvalidMessage(f"server {backend[:32]!r} was never listed")
     zone, tries = _named(fields, b"zone", known.zones), _count(fields, b"tries", MOST_COUNT)
     bad, mean = _count(fields, b"failed", tries), _tenths(fields, b"mean_ms")
     told = load_told(fields[b"load"]) if b"load" in fields else Load()
@@ -160,12 +160,12 @@
 
 
 def load_told(text: bytes, between: bytes = b":") -> Load:
-    """A load report of `name:value` pairs (on probes `name=value`). Raises Spoilt."""
+    """A load report of `name:value` pairs (on probes `name=value`). Raises InvalidMessage."""
     told: dict[str, float] = {}
     for pair in text.split(b",") if text else ():
         name, parted, value = pair.partition(between)
         if not parted:
-            raise Spoilt(f"load {_shown(pair)!r} is no pair")
+            raise InvalidMessage(f"load {_shown(pair)!r} is no pair")
         word = name.strip().decode("utf-8", "replace")
         told[REPORT_NAMES.get(word, word)] = _number(name, value.strip(), 1e12)
     return load(told)
--- a/onyxhead/fronts/streams/resp.py
+++ b/onyxhead/fronts/streams/resp.py
@@ -16,12 +16,12 @@
 Words = tuple[bytes, ...]
 
 
-class Unreadable(Exception):
+class FramingError(Exception):
     """The bytes are no message, and nothing after them can be found. The text says what was met."""
 
 
 class Machine:
-    """Takes bytes by `receive`; `next` gives whole messages in order. After Unreadable it takes nothing more."""
+    """Takes bytes by `receive`; `next` gives whole messages in order. After FramingError it takes nothing more."""
 
     def __init__(self, most: int = MOST) -> None:
         self.most = most
@@ -37,12 +37,12 @@
             self.kept += data
 
     def next(self) -> Words | None:
-        """The next message; None until more bytes have come. Raises Unreadable, from then on each time."""
+        """The next message; None until more bytes have come. Raises FramingError, from then on each time."""
         if self.fault is not None:
-            raise Unreadable(self.fault)
+            raise FramingError(self.fault)
         try:
             return self._next()
-        except Unreadable as error:
+        except FramingError as error:
             self.fault = str(error)
             self.kept, self.words = bytearray(), []
             raise
@@ -53,7 +53,7 @@
             if count is None:
                 return self._wait()
             if not 0 < count <= MOST_WORDS:
-                raise Unreadable(f"an array of {count} words")
+                raise FramingError(f"an array of {count} words")
             self.left = count
         while self.left:
             start = self.at
@@ -61,13 +61,13 @@
             if length is None:
                 return self._wait()
             if self.size + length > self.most:
-                raise Unreadable(f"a message of over {self.most} bytes")
+                raise FramingError(f"a message of over {self.most} bytes")
             end = self.at + length
             if len(self.kept) < end + 2:
                 self.at = start
                 return self._wait()
             if self.kept[end : end + 2] != b"\r\n":
-                raise Unreadable("a bulk string that goes on past its length")
+                raise FramingError("a bulk string that goes on past its length")
             self.words.append(bytes(self.kept[self.at : end]))
             self.at, self.left, self.size = end + 2, self.left - 1, self.size + length + 2 + MOST_HEAD
         words, self.words, self.size = tuple(self.words), [], 0
@@ -85,15 +85,15 @@
         if at >= len(kept):
             return None
         if kept[at] != mark[0]:
-            raise Unreadable(f"{bytes(kept[at : at + 1])!r} where {what} should begin")
+            raise FramingError(f"{bytes(kept[at : at + 1])!r} where {what} should begin")
         end = kept.find(b"\r\n", at, at + MOST_HEAD)
         if end < 0:
             if len(kept) - at >= MOST_HEAD:
-                raise Unreadable(f"the length of {what} does not end")
+                raise FramingError(f"the length of {what} does not end")
             return None
         digits = bytes(kept[at + 1 : end])
         if not digits.isdigit():
-            raise Unreadable(f"{digits!r} is no length of {what}")
+            raise FramingError(f"{digits!r} is no length of {what}")
         self.at = end + 2
         return int(digits)
 
--- a/onyxhead/node/discovery.py
+++ b/onyxhead/node/discovery.py
@@ -8,7 +8,7 @@
 
 from onyxhead.http.client import Connection
 from onyxhead.http.messages import Fault, Request
-from onyxhead.node.listing import Listing, Names, Unlisted, parse
+from onyxhead.node.listing import InvalidListing, Listing, Names, parse
 
 LIST = "/v1/servers"
 WAIT_MS = 4000
@@ -23,7 +23,7 @@
 
 
 class Watch:
-    """`heard` gets every list that says something new; `failed` each fault. `move` follows another address at once.
+    """`on_update` gets every list that says something new, `on_failure` each fault. `move` follows another address.
 
     Only `stop` ends an open call: what an answer holds counts as told once it is written, so one that is half read is
     read to its end, also after a move. Calls at an address that was left are not renewed once the new one answers."""
@@ -32,11 +32,11 @@
         self,
         address: tuple[str, int],
         names: Names,
-        heard: Callable[[Listing], None],
-        failed: Callable[[str], None],
+        on_update: Callable[[Listing], None],
+        on_failure: Callable[[str], None],
         seed: int,
     ) -> None:
-        self.address, self.names, self.heard, self.failed = address, names, heard, failed
+        self.address, self.names, self.on_update, self.on_failure = address, names, on_update, on_failure
         self.vary = random.Random(seed).uniform
         self.revision: int | None = None
         self.answered = False  # at the current address, since the move there
@@ -59,7 +59,7 @@
         del self.tasks[task]
         if task is self.current and not task.cancelled():
             # Nobody else would notice: lists would stop for good.
-            self.failed(f"the watch ended: {task.exception()!r}")
+            self.on_failure(f"the watch ended: {task.exception()!r}")
             asyncio.get_running_loop().call_later(PAUSE_MOST, self._start_again, task)
 
     def _start_again(self, task: asyncio.Task[None]) -> None:
@@ -76,14 +76,14 @@
             try:
                 await self._follow(address)
             except TimeoutError:
-                self.failed("no answer in time")
+                self.on_failure("no answer in time")
             except (OSError, Fault) as error:
-                self.failed(str(error))
+                self.on_failure(str(error))
             except Exception as error:
                 # What was missed can't be told from such an answer, or is not booked for a fault of ours; the whole
                 # list tells.
                 self.revision = None
-                self.failed(str(error) if isinstance(error, Unlisted) else repr(error))
+                self.on_failure(str(error) if isinstance(error, InvalidListing) else repr(error))
             else:
                 pause = PAUSE
             if asyncio.current_task() is not self.current:
@@ -106,14 +106,14 @@
                     raise Fault(f"discovery answers {response.status}")
                 listing = parse(response.body, self.names)
                 if asked is not None and listing.revision < asked:
-                    raise Unlisted(f"revision {listing.revision} after {asked}")
+                    raise InvalidListing(f"revision {listing.revision} after {asked}")
                 if asked is None and not listing.whole:
-                    raise Unlisted("changes where the whole list was asked for")
+                    raise InvalidListing("changes where the whole list was asked for")
                 self.answered |= asyncio.current_task() is self.current
                 if self.revision not in (None, asked) and listing.revision <= self.revision:
                     continue  # another call has told as much meanwhile
                 if listing.whole or listing.entries:
-                    self.heard(listing)
+                    self.on_update(listing)
                 self.revision = listing.revision
 
     async def stop(self) -> None:
--- a/onyxhead/node/host.py
+++ b/onyxhead/node/host.py
@@ -36,7 +36,7 @@
 
 
 @dataclass
-class Draft:
+class PendingUpdate:
     """What one pull tells one proxy, as it is gathered."""
 
     out: dict[str, None] = field(default_factory=dict)
@@ -47,7 +47,7 @@
 
 
 @dataclass
-class Work:
+class Effects:
     """What there is to carry out: messages by stream, backends to look at, when to come back at the latest."""
 
     orders: list[tuple[int, Hashable, Orders]] = field(default_factory=list)
@@ -159,7 +159,7 @@
     def probed(self, now: int, backend: str, sight: say.Sight, load: say.Load) -> None:
         self.brain.learn_probe(now, backend, sight, load)
 
-    def hush(self, now: int) -> list[int]:
+    def detect_silent(self, now: int) -> list[int]:
         """Proxies whose streams have just fallen silent: they owe an answer that the channel, which is in order, has
         let pass at others, and nothing at all comes from them. The platform says nothing when a machine vanishes; what
         waits for one must not count as waiting for good, nor a slow channel be taken for silence."""
@@ -179,69 +179,71 @@
 
     # What is decided
 
-    def act(self, now: int) -> Work:
+    def act(self, now: int) -> Effects:
         """One pull of the module, as one message for each proxy concerned."""
-        work, drafts, returning, turn = Work(), dict[int, Draft](), list[str](), 0
+        effects, updates, returning, turn = Effects(), dict[int, PendingUpdate](), list[str](), 0
         pull = self.brain.decisions(now)
         while True:
             try:
                 if (decision := next(pull, None)) is None:
                     break
-                turn = self._carry(decision, work, drafts, returning) or turn
+                turn = self._carry(decision, effects, updates, returning) or turn
             except Exception as error:
                 # A fault of the module ends its pull, one of ours this decision alone: the others still hold, since the
                 # module has booked them as ordered and says them to nobody again.
-                work.faults.append(place(error))
+                effects.faults.append(place(error))
         for backend in returning:
             # Known only now: the line that holds it comes behind the word that it is let back.
             for proxy, known in self.joined.items():
                 if any(backend in self.tables.get(table, {}) for table in known.bound):
-                    drafts.setdefault(proxy, Draft()).back[backend] = None
+                    updates.setdefault(proxy, PendingUpdate()).back[backend] = None
         made: dict[tuple[object, ...], Orders] = {}
-        for proxy, draft in drafts.items():
+        for proxy, update in updates.items():
             known = self.joined[proxy]
             if turn:
                 known.turns.append((turn, now))
-            orders = self._orders(known, draft, turn)
-            work.orders.append((proxy, known.stream, made.setdefault(orders, orders)))
-        return work
+            orders = self._orders(known, update, turn)
+            effects.orders.append((proxy, known.stream, made.setdefault(orders, orders)))
+        return effects
 
-    def _carry(self, decision: say.Decision, work: Work, drafts: dict[int, Draft], returning: list[str]) -> int:
+    def _carry(
+        self, decision: say.Decision, effects: Effects, updates: dict[int, PendingUpdate], returning: list[str]
+    ) -> int:
         """Books one decision; returns the turn if it is a turn mark."""
         match decision:
             case say.Shutout(backend, shut):
-                self._shut_out(backend, shut, drafts)
+                self._shut_out(backend, shut, updates)
                 if not shut:
                     returning.append(backend)
             case say.TableChange(table, lines):
-                self._change(table, lines, drafts)
+                self._change(table, lines, updates)
             case say.Admission(table, groups, level, tries):
                 own = Level(groups, level, tries)
                 self.levels.setdefault(table, {})[groups] = own
                 for proxy in self._users(table):
-                    drafts.setdefault(proxy, Draft()).levels.append(own)
+                    updates.setdefault(proxy, PendingUpdate()).levels.append(own)
             case say.Assignment(proxy, table, groups) if proxy in self.joined:
-                self._bind(proxy, table, groups, drafts.setdefault(proxy, Draft()))
+                self._bind(proxy, table, groups, updates.setdefault(proxy, PendingUpdate()))
             case say.TurnMark(turn, _):
                 # Whoever the module counts a message for gets one, also where it only asks for an answer.
                 for proxy in self.brain.spent:
                     if proxy in self.joined:
-                        drafts.setdefault(proxy, Draft())
+                        updates.setdefault(proxy, PendingUpdate())
                 return turn
             case say.Probe(backend):
-                work.probes.append(backend)
+                effects.probes.append(backend)
             case say.Wakeup(after):
-                work.wake = after
+                effects.wake = after
             case say.Subscribe():
-                work.subscribe = True
+                effects.subscribe = True
             case say.Remark(text):
-                work.remarks.append(text)
+                effects.remarks.append(text)
         return 0
 
     def _users(self, table: int) -> list[int]:
         return [proxy for proxy, known in self.joined.items() if table in known.bound]
 
-    def _shut_out(self, backend: str, shut: bool, drafts: dict[int, Draft]) -> None:
+    def _shut_out(self, backend: str, shut: bool, updates: dict[int, PendingUpdate]) -> None:
         if shut:
             self.shut[backend] = None
             self.returned.discard(backend)
@@ -252,37 +254,37 @@
             # Tables that are not of this controller may hold anything.
             holds = any(backend in self.tables.get(table, {}) for table in known.bound)
             if not known.silent and (holds or not known.bound):
-                drafts.setdefault(proxy, Draft()).out[backend] = None
+                updates.setdefault(proxy, PendingUpdate()).out[backend] = None
 
-    def _change(self, table: int, lines: tuple[tuple[str, float], ...], drafts: dict[int, Draft]) -> None:
+    def _change(self, table: int, lines: tuple[tuple[str, float], ...], updates: dict[int, PendingUpdate]) -> None:
         held = self.tables.setdefault(table, {})
         for backend, weight in lines:
             held.pop(backend, None)
             if weight > 0:
                 held[backend] = weight
         for proxy in self._users(table):
-            drafts.setdefault(proxy, Draft()).lines.setdefault(table, {}).update(lines)
+            updates.setdefault(proxy, PendingUpdate()).lines.setdefault(table, {}).update(lines)
 
-    def _bind(self, proxy: int, table: int, groups: tuple[int, ...], draft: Draft) -> None:
+    def _bind(self, proxy: int, table: int, groups: tuple[int, ...], update: PendingUpdate) -> None:
         known = self.joined[proxy]
-        if not draft.whole:
+        if not update.whole:
             known.bound = {}
-            draft.lines.clear()
-            draft.levels.clear()
+            update.lines.clear()
+            update.levels.clear()
         known.bound[table] = groups
-        draft.whole.append(table)
+        update.whole.append(table)
         for backend in self.tables.get(table, {}):
             if backend in self.shut:
-                draft.out[backend] = None
+                update.out[backend] = None
             elif backend in self.returned:
-                draft.back[backend] = None
-        draft.levels += self.levels.get(table, {}).values()
+                update.back[backend] = None
+        update.levels += self.levels.get(table, {}).values()
 
-    def _orders(self, known: Joined, draft: Draft, turn: int) -> Orders:
-        rows = [Rows(known.bound[table], True, tuple(self.tables.get(table, {}).items())) for table in draft.whole]
-        changed = ((table, lines) for table, lines in draft.lines.items() if table not in draft.whole)
+    def _orders(self, known: Joined, update: PendingUpdate, turn: int) -> Orders:
+        rows = [Rows(known.bound[table], True, tuple(self.tables.get(table, {}).items())) for table in update.whole]
+        changed = ((table, lines) for table, lines in update.lines.items() if table not in update.whole)
         rows += [Rows(known.bound[table], False, tuple(lines.items())) for table, lines in changed]
-        return Orders(tuple(draft.out), tuple(draft.back), tuple(rows), tuple(draft.levels), turn)
+        return Orders(tuple(update.out), tuple(update.back), tuple(rows), tuple(update.levels), turn)
 
     def figures(self) -> dict[str, float]:
         """What the module believes, for the log: read only."""
--- a/onyxhead/node/listing.py
+++ b/onyxhead/node/listing.py
@@ -15,7 +15,7 @@
 """Signs that would break an order that names the backend."""
 
 
-class Unlisted(ValueError):
+class InvalidListing(ValueError):
     """The answer is no list that can be followed; what was known stands."""
 
 
@@ -35,30 +35,30 @@
 
 
 def parse(body: bytes, names: Names) -> Listing:
-    """The list in an answer. Raises Unlisted."""
+    """The list in an answer. Raises InvalidListing."""
     try:
         given = json.loads(body)
     except (ValueError, RecursionError) as error:
-        raise Unlisted(f"not JSON, perhaps half written: {error}") from None
+        raise InvalidListing(f"not JSON, perhaps half written: {error}") from None
     return listing(given, names)
 
 
 def listing(given: Any, names: Names) -> Listing:  # noqa: ANN401
-    """The list in a value already read. Raises Unlisted; one bad entry spoils it, as leaving it out of a whole list
-    would say that it has gone."""
+    """The list in a value already read. Raises InvalidListing; one bad entry spoils it, as leaving it out of a whole
+    list would say that it has gone."""
     if not isinstance(given, dict):
-        raise Unlisted("no object")
+        raise InvalidListing("no object")
     revision, whole, members = given.get("revision"), given.get("complete"), given.get("members")
     if type(revision) is not int or type(whole) is not bool or not isinstance(members, list):
-        raise Unlisted("revision, complete or members is missing or of the wrong type")
+        raise InvalidListing("revision, complete or members is missing or of the wrong type")
     entries, places = [], {}
     for place, member in enumerate(members):
         try:
             entry, where = _entry(member, names)
         except (KeyError, TypeError, ValueError, AttributeError) as error:
-            raise Unlisted(f"member {place}: {type(error).__name__}: {error}") from None
+            raise InvalidListing(f"member {place}: {type(error).__name__}: {error}") from None
         if entry.backend in places:
-            raise Unlisted(f"{entry.backend!r} is listed twice")
+            raise InvalidListing(f"{entry.backend!r} is listed twice")
         entries.append(entry)
         places[entry.backend] = where
     return Listing(revision, whole, entries, places)
--- a/onyxhead/node/probes.py
+++ b/onyxhead/node/probes.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable, Hashable
 
-from onyxhead.fronts.streams.messages import Spoilt, load_told
+from onyxhead.fronts.streams.messages import InvalidMessage, load_told
 from onyxhead.http.client import Connection
 from onyxhead.http.messages import Fault, Request
 from onyxhead.interface import Load, Sight
@@ -31,7 +31,7 @@
         return Sight.NO_ROOM, Load()
     try:
         return Sight.SERVED, load_told(response.body.strip(), b"=") if path == "/load" else Load()
-    except Spoilt:
+    except InvalidMessage:
         return Sight.SERVED, Load()
 
 
--- a/onyxhead/node/serve.py
+++ b/onyxhead/node/serve.py
@@ -13,21 +13,21 @@
 
 import onyxhead.interface as say
 from onyxhead.controller.clock import Clock
-from onyxhead.fronts.streams.messages import Known, Said, Spoilt, read
+from onyxhead.fronts.streams.messages import InvalidMessage, Known, Said, read
 from onyxhead.fronts.streams.orders import ALIVE, Encoder, rejected
 from onyxhead.fronts.streams.resp import Words
 from onyxhead.node import start as starting
+from onyxhead.node.connections import Connection, Listener
 from onyxhead.node.discovery import Watch
 from onyxhead.node.host import Host, place
-from onyxhead.node.links import Door, Link
-from onyxhead.node.listing import Listing, Names, Unlisted, listing
+from onyxhead.node.listing import InvalidListing, Listing, Names, listing
 from onyxhead.node.notes import Notes
 from onyxhead.node.probes import AT_ONCE, Probes
 
 TENTHS = 10_000
 ASIDE = AT_ONCE + 16
 """Descriptors set aside: probes, the discovery watch and its successor, the listener, the loop's own, standard ones."""
-LOOK = 0.25
+LAG_INTERVAL = 0.25
 """Seconds between looks at silent streams, and by which the loop's lag is measured."""
 FIGURES = 5.0
 LAST = 0.3
@@ -47,12 +47,12 @@
         groups = {name: place for place, name in enumerate(given.groups)}
         self.known = Known(groups, zones, given.deployment.proxies, self.host.listed)
         self.encoder = Encoder(given.groups)
-        self.door = Door(given.sockets - ASIDE, self.heard, self.ended, rejected)
-        self.proxies: dict[int, Link] = {}
-        self.by_link: dict[int, int] = {}  # proxies by the number of their link
+        self.listener = Listener(given.sockets - ASIDE, self.heard, self.ended, rejected)
+        self.proxies: dict[int, Connection] = {}
+        self.by_connection: dict[int, int] = {}  # proxies by the number of their connection
         self.places: dict[str, tuple[str, int]] = {}
         self.probes = Probes("/load" if given.reports else "/healthz", self.probed)
-        self.watch = Watch(given.discovery, self.names, self.listed, self.unheard, given.seed)
+        self.watch = Watch(given.discovery, self.names, self.on_listing, self.discovery_failed, given.seed)
         self.counts: Counter[str] = Counter()
         self.pulled = 0.0
         self.waiting: asyncio.TimerHandle | None = None
@@ -64,16 +64,16 @@
     async def run(self) -> None:
         """Serves until told to end. Raises OSError if the address can't be had."""
         self._remember()
-        host, port = self.door.open(self.given.listen)
+        host, port = self.listener.open(self.given.listen)
         for each in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(each, self.over.set)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         self.notes.say("serving", name=self.given.name, host=host, port=port, sockets=self.given.sockets)
         if not self.given.deployment.must_subscribe:
             self._follow()
-        self.stir()
+        self.schedule_round()
         self.loop.set_exception_handler(self._unhandled)
-        self.loop.call_later(LOOK, self._look, self.loop.time() + LOOK)
+        self.loop.call_later(LAG_INTERVAL, self._sample_lag, self.loop.time() + LAG_INTERVAL)
         self.loop.call_later(FIGURES, self._figures)
         # What was loaded stays; collections then look only at what is made in service.
         gc.collect()
@@ -84,8 +84,8 @@
         if self.waiting is not None:
             # What was heard and not yet told is owed to those that are joined; no pull comes after this one.
             self.waiting.cancel()
-            self._pull()
-        await self.door.finish(LAST)
+            self._round()
+        await self.listener.finish(LAST)
 
     def _remember(self) -> None:
         if self.given.known is None:
@@ -93,7 +93,7 @@
             return
         try:
             found = listing(self.given.known, self.names)
-        except Unlisted as error:
+        except InvalidListing as error:
             self.notes.say("the known list is not used", why=str(error))
             return
         self.places = found.places
@@ -132,67 +132,68 @@
 
     # What is heard
 
-    def heard(self, link: Link, words: Words) -> None:
+    def heard(self, connection: Connection, words: Words) -> None:
         """One message. What is wrong with it or with us ends neither the loop nor a stream that has joined."""
         try:
-            self._heard(link, words)
-        except Spoilt as error:
-            if not link.joined:
+            self._heard(connection, words)
+        except InvalidMessage as error:
+            if not connection.joined:
                 self.counts["rejected"] += 1
-                self.door.reject(link, str(error))
+                self.listener.reject(connection, str(error))
                 return
-            self.counts["spoilt"] += 1
-            self.notes.once("message refused", str(error)[:200], link=link.number)
+            self.counts["invalid"] += 1
+            self.notes.once("message refused", str(error)[:200], connection=connection.number)
         except Exception as error:
             self._fault("fault in a message", place(error))
 
-    def _heard(self, link: Link, words: Words) -> None:
-        now, proxy = self.clock.now(), self.by_link.get(link.number)
+    def _heard(self, connection: Connection, words: Words) -> None:
+        now, proxy = self.clock.now(), self.by_connection.get(connection.number)
         if proxy is not None:
-            self.host.alive(now, proxy, link.number)
+            self.host.alive(now, proxy, connection.number)
         said, values = read(words, self.known)
         if said is Said.ALIVE:
-            link.send(ALIVE)
+            connection.send(ALIVE)
             return
-        if said is Said.JOINS and not link.joined:
-            self._join(now, link, *values)
-        elif said is Said.COLLECTS and not link.joined:
-            link.join()
-            self.notes.say("collector", zone=self.given.zones[values[0]], link=link.number)
-        elif not link.joined or said in (Said.JOINS, Said.COLLECTS):
-            raise Spoilt(f"{words[0][:32]!r} has no place {'on a joined stream' if link.joined else 'before joining'}")
+        if said is Said.JOINS and not connection.joined:
+            self._join(now, connection, *values)
+        elif said is Said.COLLECTS and not connection.joined:
+            connection.join()
+            self.notes.say("collector", zone=self.given.zones[values[0]], connection=connection.number)
+        elif not connection.joined or said in (Said.JOINS, Said.COLLECTS):
+            where = "on a joined stream" if connection.joined else "before joining"
+            raise InvalidMessage(f"{words[0][:32]!r} has no place {where}")
         elif said is Said.APPLIED:
-            if proxy != values[0] or not self.host.applied(now, values[0], link.number, *values[1:]):
-                raise Spoilt("an answer to a mark that was not set on this stream")
+            if proxy != values[0] or not self.host.applied(now, values[0], connection.number, *values[1:]):
+                raise InvalidMessage("an answer to a mark that was not set on this stream")
         elif said is Said.TRIES:
             self.host.tries(now, *values)
         elif said is Said.FLOWS:
             if proxy not in (None, values[0]):
-                raise Spoilt("flows of another proxy")
+                raise InvalidMessage("flows of another proxy")
             self.host.flows(now, *values)
         self.counts[said.name.lower()] += 1
-        self.stir()
+        self.schedule_round()
 
-    def _join(self, now: int, link: Link, proxy: int, zone: int, usual: float, standing: bool) -> None:
-        link.join()
+    def _join(self, now: int, connection: Connection, proxy: int, zone: int, usual: float, standing: bool) -> None:
+        connection.join()
         old = self.proxies.pop(proxy, None)
-        self.host.joins(now, proxy, zone, usual, standing, link.number)
-        self.proxies[proxy], self.by_link[link.number] = link, proxy
+        self.host.joins(now, proxy, zone, usual, standing, connection.number)
+        self.proxies[proxy], self.by_connection[connection.number] = connection, proxy
         if old is not None:
-            self.by_link.pop(old.number, None)
-            self.door.end(old, "replaced by a new stream of the same proxy")
+            self.by_connection.pop(old.number, None)
+            self.listener.end(old, "replaced by a new stream of the same proxy")
 
-    def ended(self, link: Link, why: str) -> None:
-        proxy = self.by_link.pop(link.number, None)
-        if proxy is not None and self.proxies.get(proxy) is link:
+    def ended(self, connection: Connection, why: str) -> None:
+        proxy = self.by_connection.pop(connection.number, None)
+        if proxy is not None and self.proxies.get(proxy) is connection:
             del self.proxies[proxy]
-            if self.host.left(self.clock.now(), proxy, link.number):
+            if self.host.left(self.clock.now(), proxy, connection.number):
                 self.notes.say("proxy left", proxy=proxy, why=why)
-                self.stir()
-        elif link.joined:
-            self.notes.say("connection over", link=link.number, why=why)
+                self.schedule_round()
+        elif connection.joined:
+            self.notes.say("connection over", connection=connection.number, why=why)
 
-    def listed(self, found: Listing) -> None:
+    def on_listing(self, found: Listing) -> None:
         if found.whole:
             self.places = dict(found.places)
         else:
@@ -207,14 +208,14 @@
             self._fault("fault in a list", place(error))
         self.counts["lists"] += 1
         self.notes.say("list", revision=found.revision, whole=found.whole, entries=len(found.entries))
-        self.stir()
+        self.schedule_round()
 
-    def unheard(self, why: str) -> None:
+    def discovery_failed(self, why: str) -> None:
         self.counts["discovery failed"] += 1
         self.notes.once("discovery", why)
         if self.given.deployment.must_subscribe:
             self.host.list_refused(self.clock.now())
-            self.stir()
+            self.schedule_round()
 
     def _life(self, backend: str) -> Hashable:
         """Where a backend is and since when: another one may come under its name while a look is under way."""
@@ -230,70 +231,70 @@
             self.host.probed(self.clock.now(), backend, sight, load)
         except Exception as error:
             self._fault("fault in a probe", place(error))
-        self.stir()
+        self.schedule_round()
 
     # What is decided
 
-    def stir(self) -> None:
+    def schedule_round(self) -> None:
         """Has the module asked once for all that comes in until then."""
         if self.waiting is None:
             due = self.pulled + self.given.gap / TENTHS
-            self.waiting = self.loop.call_at(max(due, self.loop.time()), self._pull)
+            self.waiting = self.loop.call_at(max(due, self.loop.time()), self._round)
 
-    def _pull(self) -> None:
+    def _round(self) -> None:
         began = self.pulled = self.loop.time()
         self.waiting = None
         try:
-            work = self.host.act(self.clock.now())
+            effects = self.host.act(self.clock.now())
         except Exception as error:
-            self._fault("fault in a pull", place(error))
+            self._fault("fault in a round", place(error))
             self._wake(IDLE)
             return
-        if work.wake is not None:
-            self._wake(work.wake / TENTHS)
+        if effects.wake is not None:
+            self._wake(effects.wake / TENTHS)
         encoded: dict[int, bytes] = {}
-        for proxy, stream, orders in work.orders:
-            link = self.proxies.get(proxy)
-            if link is None or link.number != stream:
+        for proxy, stream, orders in effects.orders:
+            connection = self.proxies.get(proxy)
+            if connection is None or connection.number != stream:
                 continue
             try:
                 if (message := encoded.get(id(orders))) is None:
                     message = encoded[id(orders)] = self.encoder.message(orders)
-                link.send(message)
+                connection.send(message)
             except Exception as error:
                 # The module has booked it as sent, and says it to nobody again: this stream alone has to join anew.
                 self._fault("fault in a message to a proxy", place(error))
-                self.door.end(link, "its orders could not be written")
+                self.listener.end(connection, "its orders could not be written")
                 continue
             self.counts["messages"] += 1
             self.counts["lines"] += orders.lines
-        for backend in work.probes:
+        for backend in effects.probes:
             if (where := self.places.get(backend)) is not None:
                 self.probes.start(backend, where, self._life(backend))
-        for fault in work.faults:
+        for fault in effects.faults:
             self._fault("fault in the module", fault)
-        for text in work.remarks:
+        for text in effects.remarks:
             self.notes.say("remark", text=text)
-        if work.subscribe:
+        if effects.subscribe:
             self._follow()
         took = self.loop.time() - began
         self.longest, self.busy = max(self.longest, took), self.busy + took
-        self.counts["pulls"] += 1
+        self.counts["rounds"] += 1
 
     def _wake(self, after: float) -> None:
         if self.waking is not None:
             self.waking.cancel()
-        self.waking = self.loop.call_later(after, self.stir)
+        self.waking = self.loop.call_later(after, self.schedule_round)
 
     # What is watched
 
-    def _look(self, due: float) -> None:
+    def _sample_lag(self, due: float) -> None:
         now = self.loop.time()
         self.lag = max(self.lag, now - due)
-        self.loop.call_later(LOOK, self._look, now + LOOK)
-        if found := self.host.hush(self.clock.now()):
+        self.loop.call_later(LAG_INTERVAL, self._sample_lag, now + LAG_INTERVAL)
+        if found := self.host.detect_silent(self.clock.now()):
             self.notes.say("streams fell silent", proxies=found)
-            self.stir()
+            self.schedule_round()
 
     def _figures(self) -> None:
         self.loop.call_later(FIGURES, self._figures)
@@ -302,13 +303,13 @@
             "figures",
             cpu_s=round(cpu, 2),
             lag_ms=round(self.lag * 1000, 1),
-            longest_pull_ms=round(self.longest * 1000, 1),
-            pulling_share=round(self.busy / FIGURES, 3),
-            links=len(self.door.links),
-            strangers=len(self.door.strangers),
+            longest_round_ms=round(self.longest * 1000, 1),
+            round_share=round(self.busy / FIGURES, 3),
+            connections=len(self.listener.connections),
+            pending=len(self.listener.pending),
             **self.host.figures(),
             counts=dict(self.counts),
-            door=dict(self.door.counts),
+            listener=dict(self.listener.counts),
             host=dict(self.host.counts),
         )
         self.lag = self.longest = self.busy = 0.0
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -17,8 +17,8 @@
 from onyxhead.fronts.streams.orders import rejected
 from onyxhead.fronts.streams.resp import Words, framed
 from onyxhead.node import start as starting
+from onyxhead.node.connections import Connection, Listener
 from onyxhead.node.discovery import Watch
-from onyxhead.node.links import Door, Link
 from onyxhead.node.listing import Listing, Names
 from onyxhead.node.notes import Notes
 from onyxhead.node.serve import Node
@@ -89,11 +89,11 @@
     def __init__(self, most: int) -> None:
         self.joined: list[Words] = []
         self.ended: list[str] = []
-        self.door = Door(most, self.heard, lambda link, why: self.ended.append(why), rejected)
-        self.address = self.door.open(("127.0.0.1", 0))
+        self.listener = Listener(most, self.heard, lambda _, why: self.ended.append(why), rejected)
+        self.address = self.listener.open(("127.0.0.1", 0))
 
-    def heard(self, link: Link, words: Words) -> None:
-        link.join()
+    def heard(self, connection: Connection, words: Words) -> None:
+        connection.join()
         self.joined.append(words)
 
     def dial(self, data: bytes = b"") -> socket.socket:
@@ -106,13 +106,13 @@
     async def play() -> None:
         heard = Heard(4)
         good, mute = heard.dial(framed([b"hello"])), heard.dial()
-        heard.door._accept()
-        monkeypatch.setattr("onyxhead.node.links.PATIENCE", -1.0)  # as after a slow moment between accept and read
-        heard.door._sweep()
+        heard.listener._accept()
+        monkeypatch.setattr("onyxhead.node.connections.JOIN_TIMEOUT", -1.0)  # as after a slow moment between accept and read
+        heard.listener._sweep()
         assert heard.joined == [(b"hello",)] and heard.ended == ["never joined"]
         assert mute.recv(1) == b""
         good.close()
-        await heard.door.finish(0)
+        await heard.listener.finish(0)
 
     asyncio.run(play())
 
@@ -121,10 +121,10 @@
     async def play() -> None:
         heard = Heard(3)
         clients = [heard.dial(framed([b"hello"])), heard.dial(), heard.dial(), heard.dial()]
-        heard.door._accept()
+        heard.listener._accept()
         assert heard.joined == [(b"hello",)] and heard.ended == ["crowded out"]
         assert clients[1].recv(1) == b""
-        await heard.door.finish(0)
+        await heard.listener.finish(0)
 
     asyncio.run(play())
 
@@ -141,7 +141,7 @@
                 client.writer.close()
             while node.host.counts["left"] < 2:
                 await asyncio.sleep(0)
-            assert not node.host.joined and not node.proxies and not node.by_link and not node.host.brain.proxies
+            assert not node.host.joined and not node.proxies and not node.by_connection and not node.host.brain.proxies
 
     asyncio.run(play())
 
@@ -323,20 +323,20 @@
 
 
 def test_a_timer_that_raises_comes_again_and_is_counted(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("onyxhead.node.serve.LOOK", 0.01)
+    monkeypatch.setattr("onyxhead.node.serve.LAG_INTERVAL", 0.01)
 
     async def play() -> None:
         async with node_here(tmp_path) as (node, _):
             faults = [KeyError("a fault of ours")]
             calls: list[int] = []
 
-            def hush(now: int) -> list[int]:
+            def detect_silent(now: int) -> list[int]:
                 calls.append(now)
                 if faults:
                     raise faults.pop()
                 return []
 
-            node.host.hush = hush  # type: ignore[method-assign]
+            node.host.detect_silent = detect_silent  # type: ignore[method-assign]
             while len(calls) < 3:
                 await asyncio.sleep(0.01)
             assert node.counts["faults"] == 1
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -23,9 +23,9 @@
 from onyxhead.fronts.streams.orders import Orders
 from onyxhead.fronts.streams.resp import Machine, framed
 from onyxhead.node import start as starting
+from onyxhead.node.connections import JOIN_TIMEOUT
 from onyxhead.node.host import SILENCE, Host
-from onyxhead.node.links import PATIENCE
-from onyxhead.node.listing import Names, Unlisted, parse
+from onyxhead.node.listing import InvalidListing, Names, parse
 from onyxhead.node.notes import BURST, Notes
 from onyxhead.node.probes import look
 from onyxhead.settings.instance import Unfit, deployment
@@ -184,11 +184,11 @@
     day.run(1, answering=False)
     day.now += SILENCE + 10_000
     # Nobody has answered anything since: the channel may be slow, and a slow channel is no silence.
-    assert day.host.brain.unanswered and not day.host.hush(day.now)
+    assert day.host.brain.unanswered and not day.host.detect_silent(day.now)
     day.join(2)
     day.run(1, answering=False)
     day.answer(2)
-    assert day.host.hush(day.now) == [1] and not day.host.brain.unanswered and not day.host.hush(day.now)
+    assert day.host.detect_silent(day.now) == [1] and not day.host.brain.unanswered and not day.host.detect_silent(day.now)
     day.host.left(day.now, 2, day.streams.pop(2))
     day.host.list_heard(day.now, say.News.CHANGES, [rig.draining("s2")])
     assert day.act() == []
@@ -197,7 +197,7 @@
     assert day.muxes[1].rows[0] == {"s1": 1}
     # One that owes nothing is not silent, however quiet it is.
     day.now += 10 * SILENCE
-    assert day.host.hush(day.now) == []
+    assert day.host.detect_silent(day.now) == []
 
 
 def test_a_fault_of_the_module_keeps_what_it_decided_before(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -244,7 +244,7 @@
             elif chance < 0.95 and proxy in day.streams:
                 day.answer(proxy)
             else:
-                day.host.hush(day.now)
+                day.host.detect_silent(day.now)
             day.act()
         day.run(25)
         assert (day.host.brain.cells > 1) == (backends > 8)
@@ -378,7 +378,7 @@
     ],
 )  # fmt: skip
 def test_a_list_that_can_not_be_followed_is_refused_whole(spoilt: bytes) -> None:
-    with pytest.raises(Unlisted):
+    with pytest.raises(InvalidListing):
         parse(spoilt, NAMES)
 
 
@@ -584,7 +584,7 @@
             proxy.say(f"done proxy 3 mark {table['stamp']} took_ms 12.5")
             # More than the budget of descriptors holds; each is owed its end all the same.
             took = await asyncio.gather(*(ended(node, data) for data in BAD * 14))
-            assert len(took) == 14 * len(BAD) and PATIENCE < 3
+            assert len(took) == 14 * len(BAD) and JOIN_TIMEOUT < 3
             # Reports without meaning on a good stream cost nothing but themselves.
             for spoilt in (
                 "client_stats proxy 3 class look tries nan failed 0 span_ms 1000",
@@ -594,9 +594,9 @@
             node.platform.change(0, phase="DRAINING")
             assert (await proxy.until(lambda m: "drop" in m))["drop"] == "s-0"
             figures = await node.logged("figures")
-            while figures["strangers"]:
+            while figures["pending"]:
                 figures = await node.logged("figures")
-            assert figures["links"] == 1 and figures["joined"] == 1 and figures["counts"]["spoilt"] == 2
+            assert figures["connections"] == 1 and figures["joined"] == 1 and figures["counts"]["invalid"] == 2
 
     asyncio.run(play())
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -7,9 +7,9 @@
 import pytest
 
 from onyxhead.fronts.streams import messages
-from onyxhead.fronts.streams.messages import Known, Said, Spoilt
+from onyxhead.fronts.streams.messages import InvalidMessage, Known, Said
 from onyxhead.fronts.streams.orders import Encoder, Level, Orders, Rows, rejected
-from onyxhead.fronts.streams.resp import MOST, MOST_WORDS, Machine, Unreadable, Words, framed
+from onyxhead.fronts.streams.resp import MOST, MOST_WORDS, FramingError, Machine, Words, framed
 from onyxhead.interface import Load
 
 KNOWN = Known({"lookup": 0, "order": 1}, {"a": 0, "b": 1}, 20, {"s-1": None})
@@ -45,7 +45,7 @@
     assert taken(Machine(), framed([b"k", big])) == [(b"k", big)]
     machine = Machine()
     machine.receive(b"*2\r\n$1\r\nk\r\n$%d\r\n" % MOST)
-    with pytest.raises(Unreadable, match="over"):
+    with pytest.raises(FramingError, match="over"):
         machine.next()
     assert not machine.kept
 
@@ -63,7 +63,7 @@
     machine.receive(good + data + good)
     assert machine.next() == (b"hb",)
     for _ in range(2):
-        with pytest.raises(Unreadable):
+        with pytest.raises(FramingError):
             machine.next()
     machine.receive(b"x" * 1000)
     assert not machine.kept
@@ -71,7 +71,7 @@
 
 def test_an_endless_message_costs_no_more_than_its_limit() -> None:
     machine = Machine(most=4096)
-    with pytest.raises(Unreadable):
+    with pytest.raises(FramingError):
         for _ in range(10_000):
             taken(machine, b"*1000\r\n" if not machine.left else b"$100\r\n" + b"y" * 100 + b"\r\n")
     assert not machine.kept and not machine.words
@@ -113,13 +113,13 @@
         for each in [*spoilt, [*fields, *fields[place : place + 2]], fields[: place + 1]]:
             if fields[place] == "load" and each[place + 1 : place + 2] == [""]:
                 continue  # an empty report tells nothing, and says so
-            with pytest.raises(Spoilt, match=kind):
+            with pytest.raises(InvalidMessage, match=kind):
                 messages.read((kind.encode(), *(word.encode("latin-1") for word in each)), KNOWN)
 
 
 @pytest.mark.parametrize("text", ["assign rows s-1:1", "reject why x", "hb_ok", "", "ATTACH proxy 1"])
 def test_other_kinds_are_refused(text: str) -> None:
-    with pytest.raises(Spoilt):
+    with pytest.raises(InvalidMessage):
         messages.read(words(text), KNOWN)
 
 
