A joining that could not be booked ends its stream, so that the proxy joins anew

Read in serve.py _join: a fault between the connection's joining and the host's left a stream joined that was in no book and told nothing for good. Test with a real connection; without the change it waits until its time is over.

--- a/onyxhead/node/serve.py
+++ b/onyxhead/node/serve.py
@@ -176,12 +176,18 @@
 
     def _join(self, now: int, connection: Connection, proxy: int, zone: int, usual: float, standing: bool) -> None:
         connection.join()
-        old = self.proxies.pop(proxy, None)
-        self.host.joins(now, proxy, zone, usual, standing, connection.number)
+        old = self.proxies.get(proxy)
         self.proxies[proxy], self.by_connection[connection.number] = connection, proxy
-        if old is not None:
-            self.by_connection.pop(old.number, None)
-            self.listener.end(old, "replaced by a new stream of the same proxy")
+        try:
+            self.host.joins(now, proxy, zone, usual, standing, connection.number)
+        except Exception:
+            # Half booked it would be told nothing for good; it has to join anew.
+            self.listener.end(connection, "its joining could not be booked")
+            raise
+        finally:
+            if old is not None:
+                self.by_connection.pop(old.number, None)
+                self.listener.end(old, "replaced by a new stream of the same proxy")
 
     def ended(self, connection: Connection, why: str) -> None:
         proxy = self.by_connection.pop(connection.number, None)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -284,6 +284,23 @@
     asyncio.run(play())
 
 
+def test_a_joining_that_can_not_be_booked_ends_its_stream_so_that_the_proxy_joins_anew(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with node_here(tmp_path) as (node, here):
+            book, faults = node.host.brain.proxy_joined, [KeyError("a fault of ours")]
+
+            def joined(*told: Any) -> None:
+                if faults:
+                    raise faults.pop()
+                book(*told)
+
+            node.host.brain.proxy_joined = joined  # type: ignore[method-assign]
+            assert await (await here.dial((JOINING % 3).decode())).hear() is None
+            assert "rows" in await (await here.dial((JOINING % 3).decode())).until(lambda m: "rows" in m)
+
+    asyncio.run(play())
+
+
 def test_a_decision_that_can_not_be_booked_takes_no_other_with_it(tmp_path: Path) -> None:
     async def play() -> None:
         async with node_here(tmp_path) as (node, here):
