--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -253,6 +253,47 @@
     asyncio.run(play())
 
 
+def test_discovery_that_stops_behind_its_head_is_asked_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("onyxhead.node.discovery.SLACK", 0.05)
+
+    async def play() -> None:
+        async def reply(target: bytes, writer: asyncio.StreamWriter) -> None:
+            asked.append(target)
+            whole = answer(7, True, "SERVING")
+            writer.write(whole if len(asked) > 1 else whole[:30])
+
+        asked = list[bytes]()
+        heard: asyncio.Queue[Listing] = asyncio.Queue()
+        told = list[str]()
+        async with discovery(reply) as address, asyncio.timeout(30):
+            watch = Watch(address, Names({"a": 0}, {}, round), heard.put_nowait, told.append, 1)
+            watch.start()
+            assert (await heard.get()).revision == 7 and told == ["no answer in time"]
+            await watch.stop()
+
+    asyncio.run(play())
+
+
+def test_a_whole_list_that_leaves_out_one_that_drains_takes_no_withdrawal_back(tmp_path: Path) -> None:
+    async def play() -> None:
+        # Two seconds between rounds: both lists are heard before the round that tells of them.
+        async with node_here(tmp_path, roundNs=2_000_000_000) as (node, here):
+            proxy = await here.dial((JOINING % 3).decode())
+            table = await proxy.until(lambda m: "rows" in m)
+            proxy.say(f"done proxy 3 mark {table['stamp']} took_ms 1")
+            here.platform.change(0, phase="DRAINING")
+            while node.counts["lists"] < 2:
+                await asyncio.sleep(0)
+            here.platform.bad = [b"{"]  # makes it ask for the whole list
+            here.platform.members = here.platform.members[1:]
+            here.platform.change(0, size=1.0)
+            while node.counts["lists"] < 3:
+                await asyncio.sleep(0)
+            assert (await proxy.until(lambda m: "drop" in m))["drop"] == "s-0"
+
+    asyncio.run(play())
+
+
 # Pulls and what they write
 
 
