A backend back from a time of more cells no longer breaks the dealing of newcomers

Test on the module: crowded cells, one backend leaves, cells of the channel, it returns with a newcomer; fails without the change.

--- a/onyxhead/brain.py
+++ b/onyxhead/brain.py
@@ -575,8 +575,8 @@
         """The cell for a newcomer. All need some of each zone, as whole ones are lost, and of each kind."""
         held = [(0, 0, 0)] * self.cells
         for b in self._up() if self.cells > 1 else ():
-            zone, kind, all_ = held[b.cell]
-            held[b.cell] = (zone + (b.zone == entry.zone), kind + (b.kind == entry.kind), all_ + 1)
+            zone, kind, all_ = held[cell := b.cell % self.cells]  # it may date from when cells were more
+            held[cell] = (zone + (b.zone == entry.zone), kind + (b.kind == entry.kind), all_ + 1)
         return held.index(min(held))
 
     def _crowd(self, now: int) -> None:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -631,3 +631,14 @@
     rig.hear(*(gone(name) for name in lost))
     rig.run(2 * GRACE / SECOND)
     assert all(set(mux.lines()) - lost and not set(mux.lines()) & lost for mux in rig.muxes.values())
+
+
+def test_one_that_was_away_while_cells_became_fewer_returns_and_newcomers_are_still_dealt() -> None:
+    rig = fleet(50, *range(30), proxies=40)
+    rig.brain._split(rig.now, [30], True)  # as where connections are few
+    last = max(rig.brain.backends.values(), key=lambda b: b.cell)
+    rig.hear(gone(last.id))
+    rig.brain._split(rig.now, [3], False)
+    rig.hear(ready(last.id, started=rig.now), ready("b50", started=rig.now))
+    rig.run(COLD_TIME / SECOND)
+    assert {last.id, "b50"} <= {name for mux in rig.muxes.values() for name in mux.lines()}
