--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -45,7 +45,8 @@
         return time.monotonic() - self.began
 
     def write(self, *words: object) -> None:
-        self.file.write(f"{self.now():8.3f} " + " ".join(map(str, words)) + "\n")
+        if not self.file.closed:
+            self.file.write(f"{self.now():8.3f} " + " ".join(map(str, words)) + "\n")
 
 
 class World:
