--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,7 +13,7 @@
     extra={"agents": 12, "classOwnZone": [False, True]},
     guarantees={"coldNs": 6_000_000_000},
 )
-BACKENDS = {"hall-a": 3, "hall-b": 7, "hall-c": 7}
+BACKENDS = {"north": 3, "south": 7, "east": 7}
 DRAIN_S = 2.5
 OBSERVED_S = 15.0
 
@@ -24,12 +24,12 @@
     try:
         for zone, count in BACKENDS.items():
             for number in range(1, count + 1):
-                await world.add_backend(f"s-{zone[-1]}{number}", zone)
+                await world.add_backend(f"s-{zone[0]}{number}", zone)
         world.add_proxies([zone for zone in world.zones for _ in range(4)], 5.0)
         await world.begin()
         await asyncio.sleep(4)
         # The batch: 3 of 17 backends drain together, end, and come back cold under their names.
-        batch = [backend for backend in world.backends.values() if backend.zone == "hall-a"]
+        batch = [backend for backend in world.backends.values() if backend.zone == "north"]
         await asyncio.gather(*(backend.drain_and_stop(DRAIN_S) for backend in batch))
         await asyncio.sleep(1)
         if world.trouble:
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -19,7 +19,7 @@
     try:
         for zone in world.zones:
             for number in (1, 2):
-                await world.add_backend(f"s-{zone[-1]}{number}", zone)
+                await world.add_backend(f"s-{zone[0]}{number}", zone)
         world.add_proxies([zone for zone in world.zones for _ in range(4)], 5.0)
         # Two proxies join before the others, and their first answers to a mark arrive spoilt. The usage of the first
         # arrives through its zone's collector; that of the second on its own stream, and no requests come to it for 9 s.
@@ -32,7 +32,7 @@
         await asyncio.sleep(4)
         idle.paused = True
         await asyncio.sleep(6.5)
-        drain = asyncio.create_task(world.backends["s-b1"].drain_and_stop(DRAIN_S))
+        drain = asyncio.create_task(world.backends["s-s1"].drain_and_stop(DRAIN_S))
         await asyncio.sleep(4)
         idle.paused = False
         await drain
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""Streams break just before the backends of one hall drain, in one batch of a rolling deploy."""
+"""Streams break just before the backends of one zone drain, in one batch of a rolling deploy."""
 
 from __future__ import annotations
 
@@ -13,8 +13,8 @@
     extra={"agents": 12, "classOwnZone": [False, True]},
     guarantees={"drainGraceNs": 1_500_000_000},
 )
-BACKENDS = {"hall-a": 3, "hall-b": 7, "hall-c": 7}
-BROKEN_STREAMS = (0, 1, 4, 5, 8)  # 5 of 12; two of them in hall-a
+BACKENDS = {"north": 3, "south": 7, "east": 7}
+BROKEN_STREAMS = (0, 1, 4, 5, 8)  # 5 of 12; two of them in north
 NOTICE_AND_REDIAL_S = 1.5
 DRAIN_S = 6.0
 AWAY_S = 4.0
@@ -26,7 +26,7 @@
     try:
         for zone, count in BACKENDS.items():
             for number in range(1, count + 1):
-                await world.add_backend(f"s-{zone[-1]}{number}", zone)
+                await world.add_backend(f"s-{zone[0]}{number}", zone)
         world.add_proxies([zone for zone in world.zones for _ in range(4)], 5.0)
         await world.begin()
         await asyncio.sleep(5)
@@ -35,7 +35,7 @@
                 world.proxies[number].redial_after = NOTICE_AND_REDIAL_S
                 world.proxies[number].break_stream()
         await asyncio.sleep(0.3)
-        batch = [backend for backend in world.backends.values() if backend.zone == "hall-a"]
+        batch = [backend for backend in world.backends.values() if backend.zone == "north"]
         await asyncio.gather(*(backend.drain_and_stop(DRAIN_S) for backend in batch))
         await asyncio.sleep(AWAY_S)
         for backend in batch:
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -27,7 +27,7 @@
 SLACK_S = 0.3  # the rules' time limits are longer by 300 ms on sockets
 START_SLACK_S = 1.0  # and start no earlier than 1 s after the controller's first answer
 TRANSIT_S = 0.15  # from a controller to a proxy
-CLASSES = ("status-check", "loss-report")
+CLASSES = ("query", "filing")
 
 
 class CannotRunError(Exception):
@@ -83,6 +83,7 @@
     async def start_controller(self) -> None:
         run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
         config = self.temporary / "config.json"
+        peer = f"{HOST}:{free_port()}"
         listen, discovery = (f"{host}:{port}" for host, port in (self.listen, self.discovery.address))
         config.write_text(
             json.dumps(
@@ -92,9 +93,9 @@
                     "discovery": discovery,
                     "seed": f"{self.random.getrandbits(64):016x}",
                     "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
-                    "peer_listen": f"{HOST}:{free_port()}",
-                    "peers": [],
-                    "peers_all": f"{HOST}:{free_port()}",
+                    "peer_listen": peer,
+                    "peers": [peer],
+                    "peers_all": peer,
                     "known": self.discovery.told_list(),
                     "settings": self.settings,
                 }
@@ -264,7 +265,7 @@
             "id": backend.name,
             "host_port": f"{HOST}:{backend.port}",
             "locality": backend.zone,
-            "flavor": "k3-fast",
+            "flavor": "m1",
             "cell": 0,
             "phase": phase,
             "size": 1.0,
@@ -630,96 +631,84 @@
 
 
 def settings(**changes: dict) -> dict:
-    """Return the settings of a small deployment: the example of the wire page, with one controller."""
+    """Return the settings of a small deployment with one controller, in the form of the wire page."""
+    second = 1_000_000_000
     base = {
         "balancers": 1,
         "bounds": {
-            "connIdleNs": 15000000000,
-            "connectTimeoutNs": 250000000,
-            "cpuUsPerS": 400000,
+            "connIdleNs": 15 * second,
+            "connectTimeoutNs": second // 4,
+            "cpuUsPerS": 400_000,
             "multiplex": 100,
             "peerMessages": True,
             "probes": True,
         },
-        "costs": {},
+        "costs": {"connection": 0.02, "crossZone": 0.05, "handshake": 0.02, "lateFail": 0.05, "probe": 0.02, "waste": 0.03},
         "discovery": "automatic",
         "domainType": "control",
         "extra": {
             "agents": 12,
             "baseMode": 0,
-            "bufferForNs": 300000000,
+            "bufferForNs": second // 4,
             "classOwnZone": [False, False],
-            "connsLeast": 193.0,
-            "cycleNs": 1000000000,
-            "egressPerS": 900.0,
+            "connsLeast": 200.0,
+            "cycleNs": second,
+            "egressPerS": 1000.0,
             "ejects": 0,
             "homedByZone": True,
-            "inFlightMaxNs": 3020000000,
+            "inFlightMaxNs": 3 * second,
             "intakePerS": 80.0,
-            "lateMostNs": 660000000,
-            "messagesOverNs": 10000000000,
-            "mostWaiting": 1800.0,
+            "lateMostNs": 6 * second // 10,
+            "messagesOverNs": 10 * second,
+            "mostWaiting": 2000.0,
             "mutating": [False, True],
             "perMessage": 6.0,
-            "pushDelayNs": 264000000,
+            "pushDelayNs": second // 5,
             "pushPrice": 0.04,
             "ranges": 0,
-            "reassignPrice": 0.01,
+            "reassignPrice": 0.0,
             "selectsBy": "lottery",
             "soleOwner": False,
             "standing": 5,
-            "tenureNs": 2500000000,
+            "tenureNs": 2 * second,
             "throttleBy": "rps",
             "tryFactor": 1.2,
-            "unservedMaxNs": 3100000000,
+            "unservedMaxNs": 3 * second,
             "updateCap": 0,
             "warmKeys": False,
         },
-        "goal": {},
+        "goal": {"whole": 0.6, "worstClass": 0.2, "worstTenant": 0.0, "worstWindow": 0.2},
         "guarantees": {
-            "askWithinNs": 10000000000,
+            "askWithinNs": 10 * second,
             "coldFrom": 0.2,
-            "coldNs": 15000000000,
-            "drainGraceNs": 2900000000,
-            "fallNs": 1500000000,
+            "coldNs": 15 * second,
+            "drainGraceNs": 2 * second,
+            "fallNs": 3 * second // 2,
             "overloadFactor": 3.0,
         },
-        "hostTypes": ["k3-fast", "k4-std", "k4-slow"],
+        "hostTypes": ["m1", "m2"],
         "report": {"fields": ["pending", "svc_ms"], "via": "on_probe"},
-        "roundNs": 4000000,
+        "roundNs": 4_000_000,
         "services": [
-            {
-                "aimNs": 750000000,
-                "credit": 1.0,
-                "deadlineNs": 2500000000,
-                "effect": "pure",
-                "group": "all",
-                "lateValue": 0.2,
-                "name": "status-check",
-                "repeatWindowNs": 5000000000,
-            },
-            {
-                "aimNs": 1000000000,
-                "credit": 2.0,
-                "deadlineNs": 3000000000,
-                "effect": "token",
-                "group": "zone",
-                "lateValue": 0.1,
-                "name": "loss-report",
-                "repeatWindowNs": 3000000000,
-            },
+            _service(CLASSES[0], 1.0, "pure", "all", 8 * second // 10, 5 * second // 2),
+            _service(CLASSES[1], 2.0, "token", "zone", second, 3 * second),
         ],
         "slotNo": 0,
         "weightSource": "off",
         "worthBy": "request",
         "zone": 0,
-        "zones": ["hall-a", "hall-b", "hall-c"],
+        "zones": ["north", "south", "east"],
     }
     for section, values in changes.items():
         base[section] |= values
     return base
 
 
+def _service(name: str, credit: float, effect: str, group: str, aim: int, deadline: int) -> dict:
+    times = {"aimNs": aim, "deadlineNs": deadline, "repeatWindowNs": 3_000_000_000}
+    return times | {"credit": credit, "effect": effect, "group": group, "lateValue": 0.1, "name": name}
+
+
 def main(case, folder: Path, limit_s: float = 100.0) -> int:
     """Run a case, an async function of its folder that returns the exit code; return 2 if it could not run."""
 
