--- a/onyxhead/node/decision_round.py
+++ b/onyxhead/node/decision_round.py
@@ -14,6 +14,7 @@
     Decision,
     HealthCheckRequest,
     LogMessage,
+    ProxyWithdrawals,
     SubscribeToEndpoints,
     TableAssignment,
     TableChange,
@@ -80,6 +81,8 @@
                 self._withdraw(backend)
             case Withdrawal(backend, _):
                 self._restore(backend)
+            case ProxyWithdrawals(proxies, withdrawn, restored):
+                self._update_withdrawals(proxies, withdrawn, restored)
             case TableChange(table, lines):
                 self._change_table(table, lines)
             case AdmissionLevel(table, groups, level, retry_mode):
@@ -87,12 +90,7 @@
             case TableAssignment(proxy, table, groups) if proxy in self.state.joined:
                 self._assign_table(proxy, table, groups)
             case AcknowledgementRequest(round_number, _):
-                self.number = round_number or self.number
-                # Each recipient gets an update, even if the update holds nothing but the request for an
-                # acknowledgement.
-                for proxy in recipients:
-                    if proxy in self.state.joined:
-                        self._update_for(proxy)
+                self._request_acknowledgement(round_number, recipients)
             case HealthCheckRequest(backend):
                 self.effects.health_checks.append(backend)
             case WakeUp(delay):
@@ -130,7 +128,6 @@
 
     def _withdraw(self, backend: str) -> None:
         self.state.withdrawn[backend] = None
-        self.state.endpoints.returned.discard(backend)
         for proxy, joined in self.state.joined.items():
             # A proxy without tables from this controller may still use those of another one, which may have a line for
             # the backend.
@@ -140,9 +137,17 @@
 
     def _restore(self, backend: str) -> None:
         self.state.withdrawn.pop(backend, None)
-        self.state.endpoints.returned.add(backend)
         self.restored.append(backend)
 
+    def _update_withdrawals(
+        self, proxies: tuple[int, ...], withdrawn: tuple[str, ...], restored: tuple[str, ...]
+    ) -> None:
+        for proxy in proxies:
+            if proxy in self.state.joined:
+                pending = self._update_for(proxy)
+                pending.withdrawn.update(dict.fromkeys(withdrawn))
+                pending.restored.update(dict.fromkeys(restored))
+
     def _change_table(self, table: int, lines: tuple[tuple[str, float], ...]) -> None:
         table_lines = self.state.tables.setdefault(table, {})
         for backend, weight in lines:
@@ -157,6 +162,13 @@
         for proxy in self.state.users_of(table):
             self._update_for(proxy).admission.append(admission)
 
+    def _request_acknowledgement(self, round_number: int, recipients: Iterable[int]) -> None:
+        self.number = round_number or self.number
+        # Each recipient gets an update, even if the update holds nothing but the request for an acknowledgement.
+        for proxy in recipients:
+            if proxy in self.state.joined:
+                self._update_for(proxy)
+
     def _assign_table(self, proxy: int, table: int, groups: tuple[int, ...]) -> None:
         joined, pending = self.state.joined[proxy], self._update_for(proxy)
         if not pending.assigned_tables:
@@ -168,8 +180,6 @@
         for backend in self.state.tables.get(table, {}):
             if backend in self.state.withdrawn:
                 pending.withdrawn[backend] = None
-            elif backend in self.state.endpoints.returned:
-                pending.restored[backend] = None
         pending.admission += self.state.admission.get(table, {}).values()
 
     def _complete(self, joined: JoinedProxy, pending: PendingUpdate) -> ProxyUpdate:
--- a/onyxhead/node/proxy_state.py
+++ b/onyxhead/node/proxy_state.py
@@ -37,30 +37,18 @@
 
 
 class KnownEndpoints:
-    """The last known state of each endpoint that has been listed since the start and has not been dropped.
-
-    A proxy keeps withdrawals across streams, so a backend that is ready again may still be withdrawn at a proxy that
-    was not connected when the backend returned. `returned` holds the backends that are back after a departure or a
-    withdrawal.
-    """
+    """The last known state of each endpoint that has been listed since the start and has not been dropped."""
 
     def __init__(self) -> None:
         self.listed: dict[str, Endpoint] = {}
-        self.returned: set[str] = set()
 
     def update(self, event: WatchEvent, endpoints: list[Endpoint]) -> None:
         """Apply an update of the endpoint list."""
         for endpoint in endpoints:
-            old = self.listed.pop(endpoint.backend, None)
-            # Only a backend whose departure and return were both observed counts as returned. A recent start alone is
-            # not enough: after a deploy nearly all backends have started recently, and one line for each of them in
-            # every join took a quarter of the channel while tables had to be sent.
-            if endpoint.ready and old is not None and (not old.ready or old.started_at != endpoint.started_at):
-                self.returned.add(endpoint.backend)
+            self.listed.pop(endpoint.backend, None)
             self.listed[endpoint.backend] = endpoint
         if event is WatchEvent.SNAPSHOT:
             self._mark_absent({endpoint.backend for endpoint in endpoints})
-        self.returned = {backend for backend in self.returned if self.listed[backend].ready}
 
     def _mark_absent(self, present: set[str]) -> None:
         for backend in [name for name, endpoint in self.listed.items() if name not in present and endpoint.ready]:
--- a/onyxhead/policy/balancer.py
+++ b/onyxhead/policy/balancer.py
@@ -23,6 +23,7 @@
 from onyxhead.policy.outlier_detection import OutlierDetector
 from onyxhead.policy.proxies import ProxyRegistry
 from onyxhead.policy.request_rates import RequestRates
+from onyxhead.policy.restorations import RestorationScheduler
 from onyxhead.policy.slow_start import SlowStart
 from onyxhead.policy.subsetting import Subsetting
 from onyxhead.policy.table_assignment import TableAssigner
@@ -93,8 +94,12 @@
         self.admission = AdmissionController(deployment, utility, self.channel, feedback_delay, now)
         state = self.channel, self.endpoints, self.proxies, self.subsets
         self.withdrawals = WithdrawalScheduler(*state, safety.drain_grace)
-        self.table_assigner = TableAssigner(*state, self.slow_start, self.withdrawals, deployment)
-        self.table_updater = TableUpdater(*state, self.slow_start, self.weights, now)
+        self.restorations = RestorationScheduler(
+            self.channel, self.endpoints, self.proxies, self.slow_start, deployment
+        )
+        self.table_assigner = TableAssigner(*state, self.slow_start, self.withdrawals, self.restorations, deployment)
+        keep_withdrawals = deployment.proxies_keep_withdrawals
+        self.table_updater = TableUpdater(*state, self.slow_start, self.weights, keep_withdrawals, now)
 
     # Events
 
@@ -222,6 +227,8 @@
             self._last_change_round = now
             yield from self._decide_changes(now, ready)
         yield from self.table_assigner.assign(now)
+        if self.restorations.may_restore_remaining(now) and not self._withdrawals_wait(now):
+            yield from self.restorations.restore_remaining(now)
         if self.channel.reserved:
             self.channel.finish_round(now, self.proxies)
             yield AcknowledgementRequest(self.channel.round_number, self.withdrawals.notifies_all)
@@ -239,11 +246,14 @@
         self.weights.unreachable_zones = find_unreachable_zones(ready)
         self._update_estimates(now, ready)
         # Withdrawals that wait for room in the channel go before changes of levels and weights.
-        if self.withdrawals.due(now, self.withdrawals.batching_window):
+        if self._withdrawals_wait(now):
             return
         yield from self.admission.send_levels(self.subsets.tables, self.proxies)
         yield from self.table_updater.send_changes(now, self.rates)
 
+    def _withdrawals_wait(self, now: int) -> bool:
+        return bool(self.withdrawals.due(now, self.withdrawals.batching_window))
+
     def _evaluate_attempts(self, now: int, ready: Sequence[Backend]) -> None:
         """Update admission and outlier detection from the attempts of a period, if one has ended."""
         if not self.fleet.close_period(now):
--- a/onyxhead/policy/decisions.py
+++ b/onyxhead/policy/decisions.py
@@ -15,6 +15,17 @@
     withdrawn: bool
 
 
+class ProxyWithdrawals(NamedTuple):
+    """Makes these proxies stop using some backends, and use others again, whatever they were told before.
+
+    Only for proxies that keep withdrawals when their stream ends (`Deployment.proxies_keep_withdrawals`).
+    """
+
+    proxies: tuple[int, ...]
+    withdrawn: tuple[str, ...]
+    restored: tuple[str, ...]
+
+
 class TableChange(NamedTuple):
     """New and changed lines of a table, as pairs of backend and weight; a weight of 0 removes the line."""
 
@@ -76,6 +87,7 @@
 
 Decision = (
     Withdrawal
+    | ProxyWithdrawals
     | TableChange
     | AdmissionLevel
     | TableAssignment
--- a/onyxhead/policy/endpoints.py
+++ b/onyxhead/policy/endpoints.py
@@ -37,6 +37,8 @@
     departed_at: int | None = None
     #: The time at which its withdrawal was last sent, 0 while the backend is not withdrawn.
     withdrawn_at: int = 0
+    #: Set if the backend is ready again after a departure or a restart, so that proxies may have missed its return.
+    returned: bool = False
 
     #: Weights of its lines as last sent, by table. Code reads this default dictionary through `[]`, which adds missing
     #: keys. Rates are summed in the order of the keys, so such a read affects the rounding of the sums.
@@ -170,7 +172,9 @@
 
     @staticmethod
     def _set_ready(backend: Backend, entry: Endpoint, now: int) -> None:
-        if not backend.ready or backend.started_at != entry.started_at:
+        restarted = backend.ready and backend.started_at != entry.started_at
+        backend.returned = backend.returned or backend.departed or restarted
+        if not backend.ready or restarted:
             backend.reset_measurements(now)
         backend.ready = True
         backend.departed = False
@@ -186,6 +190,7 @@
         sudden = backend.ready and not entry.draining
         backend.departed = True
         backend.ready = False
+        backend.returned = False
         if not sudden:
             backend.departed_at = now
         return sudden
--- a/onyxhead/policy/inputs.py
+++ b/onyxhead/policy/inputs.py
@@ -85,7 +85,9 @@
 
     `default_retry_mode` is the retry mode of groups without a setting of their own (see `AdmissionLevel`).
     `proxy_ejection_failures` is the number of consecutive failures after which a proxy ejects a backend by itself, that
-    is, sends it no requests for a while; 0 if proxies eject none.
+    is, sends it no requests for a while; 0 if proxies eject none. With `proxies_keep_withdrawals`, a proxy that joins
+    still obeys the withdrawals that it got on earlier streams, also from other controllers; otherwise it obeys only
+    those that come with its tables.
     """
 
     zone: int
@@ -102,6 +104,7 @@
     report_interval: int
     health_checks_allowed: bool
     subscription_required: bool
+    proxies_keep_withdrawals: bool = False
 
 
 class Endpoint(NamedTuple):
--- a/onyxhead/policy/proxies.py
+++ b/onyxhead/policy/proxies.py
@@ -29,6 +29,8 @@
     message_times: deque[int] = field(default_factory=deque)
     #: The numbers of the tables last assigned to the proxy; after a repartition, still those of the old partition.
     assigned_tables: set[int] = field(default_factory=set)
+    #: Set while the proxy may still obey withdrawals of earlier streams for backends in its assigned tables.
+    may_keep_withdrawals: bool = False
 
 
 class ProxyRegistry:
--- /dev/null
+++ b/onyxhead/policy/restorations.py
@@ -0,0 +1,107 @@
+"""Ends withdrawals that joining proxies keep from earlier streams, as far as this controller doesn't withdraw them.
+
+A controller doesn't know which backends a proxy withdraws that joins it: the proxy may come from another controller, or
+this controller may have restarted while a backend was away. It therefore restores, once on each stream, every backend
+in the tables that it assigns. If the channel has room, that happens together with the tables. Otherwise the tables come
+with the backends that matter most, and the others follow when the channel is nearly idle.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator, Sequence
+from itertools import groupby
+
+from onyxhead.policy.channel_budget import CHANGE_QUEUE_FRACTION, ChannelBudget
+from onyxhead.policy.decisions import ProxyWithdrawals
+from onyxhead.policy.endpoints import Backend, EndpointRegistry
+from onyxhead.policy.inputs import Deployment
+from onyxhead.policy.proxies import Proxy, ProxyRegistry
+from onyxhead.policy.slow_start import SlowStart
+from onyxhead.policy.tables import Table
+from onyxhead.time_units import TICKS_PER_SECOND
+
+#: Fraction of the queue limit that may be queued when remaining restorations are sent; changes of tables need not wait
+#: for so little.
+IDLE_QUEUE_FRACTION = 0.1
+#: The shortest time between two rounds that send remaining restorations.
+INTERVAL_TICKS = TICKS_PER_SECOND // 4
+
+
+class RestorationScheduler:
+    """Decides which backends to restore at a proxy with its tables, and which ones later."""
+
+    def __init__(
+        self,
+        channel: ChannelBudget,
+        endpoints: EndpointRegistry,
+        proxies: ProxyRegistry,
+        slow_start: SlowStart,
+        deployment: Deployment,
+    ) -> None:
+        self.enabled = deployment.proxies_keep_withdrawals
+        self._channel = channel
+        self._endpoints = endpoints
+        self._proxies = proxies
+        self._slow_start = slow_start
+        self._queue_limit = IDLE_QUEUE_FRACTION * channel.max_queued_lines
+        self._next_round = 0
+
+    def all_backends(self, tables: Iterable[Table]) -> list[Backend]:
+        """Return the backends that have a line in these tables and aren't withdrawn."""
+        numbers = [table.number for table in tables]
+        return [backend for backend in self._usable() if any(backend.lines.get(number) for number in numbers)]
+
+    def urgent_backends(self, now: int, proxy: Proxy, tables: Sequence[Table]) -> list[Backend]:
+        """Return the backends that a proxy must be able to use as soon as it has these tables.
+
+        They are those that this controller saw return, and enough others that each table has a usable line.
+        """
+        usable = self._usable()
+        urgent = {backend.id: backend for backend in self.all_backends(tables) if backend.returned}
+        for table in tables:
+            lines = [backend for backend in usable if backend.lines.get(table.number)]
+            if not any(self._is_warm(backend, now) for backend in lines):
+                # A single warming backend would be overloaded by the requests for all of them.
+                urgent |= {backend.id: backend for backend in lines}
+                continue
+            warm = [backend for backend in lines if self._is_warm(backend, now)]
+            if not any(backend.id in urgent for backend in warm):
+                # Proxies take different backends, so that none gets the requests of all.
+                chosen = warm[proxy.id % len(warm)]
+                urgent[chosen.id] = chosen
+        return list(urgent.values())
+
+    def may_restore_remaining(self, now: int) -> bool:
+        """Return whether the channel is nearly idle, so that remaining restorations may be sent."""
+        return self.enabled and now >= self._next_round and self._channel.queued() < self._queue_limit
+
+    def restore_remaining(self, now: int) -> Iterator[ProxyWithdrawals]:
+        """Restore the backends that proxies were not sent with their tables, as far as the channel is nearly idle."""
+        self._next_round = now + INTERVAL_TICKS
+        incomplete = [proxy for proxy in self._proxies.with_tables() if proxy.may_keep_withdrawals]
+        for numbers, proxies in groupby(sorted(incomplete, key=_table_numbers), key=_table_numbers):
+            restored = tuple(b.id for b in self._usable() if any(b.lines.get(number) for number in numbers))
+            served = list(self._take_fitting(proxies, len(restored)))
+            if served:
+                yield ProxyWithdrawals(tuple(proxy.id for proxy in served), (), restored)
+
+    def _take_fitting(self, proxies: Iterable[Proxy], lines: int) -> Iterator[Proxy]:
+        """Yield the proxies that can be sent this many lines now, and reserve room for them."""
+        for proxy in proxies:
+            if self._channel.queued() >= self._queue_limit:
+                return
+            if self._channel.available(CHANGE_QUEUE_FRACTION, [proxy]) < lines:
+                continue
+            self._channel.reserve(lines, [proxy])
+            proxy.may_keep_withdrawals = False
+            yield proxy
+
+    def _usable(self) -> list[Backend]:
+        return [backend for backend in self._endpoints.ready() if not backend.withdrawn_at]
+
+    def _is_warm(self, backend: Backend, now: int) -> bool:
+        return self._slow_start.warmup_fraction(backend, now) == 1
+
+
+def _table_numbers(proxy: Proxy) -> tuple[int, ...]:
+    return tuple(sorted(proxy.assigned_tables))
--- a/onyxhead/policy/table_assignment.py
+++ b/onyxhead/policy/table_assignment.py
@@ -5,10 +5,11 @@
 from collections.abc import Iterator, Sequence
 
 from onyxhead.policy.channel_budget import TABLE_QUEUE_FRACTION, URGENT_TABLE_QUEUE_FRACTION, ChannelBudget
-from onyxhead.policy.decisions import TableAssignment
+from onyxhead.policy.decisions import ProxyWithdrawals, TableAssignment
 from onyxhead.policy.endpoints import EndpointRegistry
 from onyxhead.policy.inputs import Deployment
 from onyxhead.policy.proxies import Proxy, ProxyRegistry
+from onyxhead.policy.restorations import RestorationScheduler
 from onyxhead.policy.slow_start import SlowStart
 from onyxhead.policy.subsetting import Subsetting
 from onyxhead.policy.tables import Table
@@ -29,6 +30,7 @@
         subsets: Subsetting,
         slow_start: SlowStart,
         withdrawals: WithdrawalScheduler,
+        restorations: RestorationScheduler,
         deployment: Deployment,
     ) -> None:
         self._channel = channel
@@ -37,11 +39,15 @@
         self._subsets = subsets
         self._slow_start = slow_start
         self._withdrawals = withdrawals
+        self._restorations = restorations
         self._drain_grace = deployment.safety.drain_grace
         self._group_count = len(deployment.groups)
 
-    def assign(self, now: int) -> Iterator[TableAssignment]:
-        """Yield the assignments that fit into the channel and reserve room for them, most urgent proxies first."""
+    def assign(self, now: int) -> Iterator[TableAssignment | ProxyWithdrawals]:
+        """Yield the assignments that fit into the channel and reserve room for them, most urgent proxies first.
+
+        Withdrawals that a proxy may keep from earlier streams are ended with its tables.
+        """
         waiting = self._proxies.waiting_for_tables()
         # Due withdrawals go first; full tables would take the room that they need.
         if not waiting or self._withdrawals.due(now, self._withdrawals.batching_window):
@@ -60,14 +66,33 @@
                 return  # withdrawals must be repeated first; full tables for the waiting proxies would delay them
             waited_long = now - proxy.joined_at > self._withdrawals.batching_window
             urgent = (old_tables_unsafe and waited_long) or not proxy.assigned_tables <= usable
-            if not self._fits(now, proxy, cost, urgent):
+            restored = self._restored_with(now, proxy, tables, len(waiting) * cost)
+            if not self._fits(now, proxy, cost + len(restored), urgent):
                 return
             proxy.has_tables = True
             proxy.assigned_tables = numbers
-            self._channel.reserve(cost, [proxy])
+            self._channel.reserve(cost + len(restored), [proxy])
             for table in tables:
                 every_group = len(table.groups) == self._group_count
                 yield TableAssignment(proxy.id, table.number, () if every_group else tuple(table.groups))
+            if restored:
+                yield ProxyWithdrawals((proxy.id,), (), restored)
+
+    def _restored_with(self, now: int, proxy: Proxy, tables: Sequence[Table], waiting_cost: int) -> tuple[str, ...]:
+        """Return the backends to restore at a proxy with its tables, and note whether others remain.
+
+        `waiting_cost` is the cost of the tables of all waiting proxies, in lines.
+        """
+        if not self._restorations.enabled:
+            return ()
+        backends = self._restorations.all_backends(tables)
+        # Each table line may need a restoration, which about doubles the cost of a join.
+        proxy.may_keep_withdrawals = (
+            2 * waiting_cost > self._channel.lines_within(self._drain_grace) / BUSY_TIME_DIVISOR
+        )
+        if proxy.may_keep_withdrawals:
+            backends = self._restorations.urgent_backends(now, proxy, tables)
+        return tuple(backend.id for backend in backends)
 
     def _old_tables_may_be_unsafe(self, now: int) -> bool:
         """Return whether a table that a proxy had before it joined may list a withdrawn or warming backend."""
--- a/onyxhead/policy/table_changes.py
+++ b/onyxhead/policy/table_changes.py
@@ -6,10 +6,10 @@
 from typing import NamedTuple
 
 from onyxhead.policy.channel_budget import CHANGE_QUEUE_FRACTION, ChannelBudget
-from onyxhead.policy.decisions import TableChange, Withdrawal
+from onyxhead.policy.decisions import ProxyWithdrawals, TableChange, Withdrawal
 from onyxhead.policy.endpoints import Backend, EndpointRegistry
 from onyxhead.policy.line_weights import LineWeights, is_significant
-from onyxhead.policy.proxies import ProxyRegistry
+from onyxhead.policy.proxies import Proxy, ProxyRegistry
 from onyxhead.policy.request_rates import RequestRates
 from onyxhead.policy.slow_start import RAMP_STEPS, SlowStart
 from onyxhead.policy.subsetting import Subsetting
@@ -40,6 +40,7 @@
         subsets: Subsetting,
         slow_start: SlowStart,
         weights: LineWeights,
+        proxies_keep_withdrawals: bool,
         now: int,
     ) -> None:
         self.last_sent = now - TICKS_PER_SECOND
@@ -49,8 +50,9 @@
         self._subsets = subsets
         self._slow_start = slow_start
         self._weights = weights
+        self._proxies_keep_withdrawals = proxies_keep_withdrawals
 
-    def send_changes(self, now: int, rates: RequestRates) -> Iterator[Withdrawal | TableChange]:
+    def send_changes(self, now: int, rates: RequestRates) -> Iterator[Withdrawal | ProxyWithdrawals | TableChange]:
         """Yield as many changes as fit and reserve room for them; for a returning backend, also end its withdrawal."""
         if self._must_wait(now):
             return
@@ -63,7 +65,8 @@
         lines_by_table: dict[int, list[tuple[str, float]]] = {}
         for _, backend, lines in self._due_changes(now, rates, hold_returning):
             returning = backend.returning
-            lines_per_user = 2 if returning else 1  # the line, and the end of the withdrawal
+            restored_at = [] if returning else self._proxies_to_restore_at(backend, lines, users)
+            lines_per_user = 2 if returning or restored_at else 1  # the line, and the end of the withdrawal
             lines_left -= sum(len(users[number]) for number in lines) * lines_per_user
             if lines_left < 0:
                 break
@@ -76,10 +79,24 @@
             if returning:
                 backend.withdrawn_at = 0
                 yield Withdrawal(backend.id, False)
+            elif restored_at:
+                yield ProxyWithdrawals(tuple(proxy.id for proxy in restored_at), (), (backend.id,))
         for number, table_lines in lines_by_table.items():
             self.last_sent = now
             yield TableChange(number, tuple(table_lines))
 
+    def _proxies_to_restore_at(
+        self, backend: Backend, lines: dict[int, float], users: dict[int, list[Proxy]]
+    ) -> list[Proxy]:
+        """Return the proxies that get a new line for the backend and may keep a withdrawal of it from earlier streams.
+
+        This controller may not have seen that the backend was away, for instance because it has restarted since.
+        """
+        if not self._proxies_keep_withdrawals:
+            return []
+        added = [number for number, weight in lines.items() if weight and not backend.lines[number]]
+        return [proxy for number in added for proxy in users[number]]
+
     def _must_wait(self, now: int) -> bool:
         """Return whether too many lines are unacknowledged to send changes."""
         # Many small messages would consist mostly of overhead, and a slow channel needs room for urgent decisions. The
--- a/tests/test_policy_host.py
+++ b/tests/test_policy_host.py
@@ -9,6 +9,7 @@
 from onyxhead.fronts.streams.updates import ProxyUpdate
 from onyxhead.node.policy_host import SILENCE_TIMEOUT, StreamPolicyHost
 from onyxhead.policy.inputs import Endpoint, HealthCheckResult, LoadReport, WatchEvent
+from onyxhead.policy.restorations import IDLE_QUEUE_FRACTION
 from onyxhead.settings.instance import read_deployment
 from tests import policy_harness
 from tests.node_testbed import SETTINGS
@@ -42,7 +43,8 @@
     def __init__(self, seed: int = 1, proxies: int = 40) -> None:
         self.now = START_TIME
         settings = SETTINGS | {"extra": SETTINGS["extra"] | {"agents": proxies}}
-        self.host = StreamPolicyHost(read_deployment(settings), seed, self.now)
+        self.deployment = read_deployment(settings)
+        self.host = StreamPolicyHost(self.deployment, seed, self.now)
         self.proxies: dict[int, ProxyDouble] = {}
         self.streams: dict[int, int] = {}
         self.next_stream = 0
@@ -54,16 +56,21 @@
         self.host.on_proxy_joined(self.now, proxy, 0, 5.0, proxy not in self.proxies, self.next_stream)
         self.proxies.setdefault(proxy, ProxyDouble())
 
+    def restart(self, *cached: Endpoint) -> None:
+        """Replace the host by a new one, as after a restart of the controller; all streams end."""
+        self.host = StreamPolicyHost(self.deployment, 2, self.now)
+        self.streams.clear()
+        self.host.on_endpoint_update(self.now, WatchEvent.CACHED, list(cached))
+
     def decide(self) -> list[tuple[int, ProxyUpdate]]:
         effects = self.host.decide(self.now)
         assert not effects.errors
         sent = []
         for proxy, stream, update in effects.updates:
             assert self.streams[proxy] == stream
-            # The host also restores backends whose withdrawals were sent on an earlier stream. Apart from restored
-            # backends, the update holds no more lines than the policy has counted.
+            # The update holds no more lines than the policy has counted.
             counted_lines = self.host.policy.round_recipients[proxy] - self.host.policy.channel.message_cost + 1
-            assert update.line_count <= counted_lines + len(update.restored)
+            assert update.line_count <= counted_lines
             self.proxies[proxy].apply(update)
             sent.append((proxy, update))
         assert not recipients_without_update(self.host, sent)
@@ -129,6 +136,63 @@
     assert "s2" not in scenario.proxies[3].withdrawn and scenario.proxies[3].tables == scenario.proxies[1].tables
 
 
+def test_backends_that_return_after_a_controller_restart_are_restored_at_all_proxies() -> None:
+    # Guards against proxies that keep a withdrawal for good: the restarted controller never saw the backend leave.
+    scenario = HostScenario()
+    scenario.host.on_endpoint_update(scenario.now, WatchEvent.CACHED, ready_endpoints("s1", "s2"))
+    for proxy in (1, 2):
+        scenario.join(proxy)
+    scenario.run(2)
+    scenario.host.on_endpoint_update(scenario.now, WatchEvent.DELTA, [policy_harness.departed_endpoint("s2")])
+    scenario.run(2)
+    assert all(double.withdrawn == {"s2"} for double in scenario.proxies.values())
+    scenario.restart(*ready_endpoints("s1"))
+    scenario.join(1)
+    scenario.run(2)
+    # Proxy 1 gets the backend as a changed line, proxy 2 in its whole table.
+    scenario.host.on_endpoint_update(scenario.now, WatchEvent.DELTA, ready_endpoints("s2", started_at=scenario.now))
+    scenario.run(2)
+    scenario.join(2)
+    scenario.run(2)
+    assert all("s2" in double.tables[0] for double in scenario.proxies.values())
+    assert not any(double.withdrawn for double in scenario.proxies.values())
+
+
+def test_withdrawals_of_another_controller_end_when_a_proxy_joins() -> None:
+    # Guards against withdrawals of backends that returned before this controller started or the proxy came to it.
+    scenario = HostScenario()
+    endpoints = ready_endpoints("s1") + ready_endpoints("s2", "s3", started_at=START_TIME - 1_000)
+    scenario.host.on_endpoint_update(scenario.now, WatchEvent.CACHED, endpoints)
+    scenario.decide()
+    scenario.proxies[1] = ProxyDouble()
+    scenario.proxies[1].withdrawn = {"s1", "s2", "s3", "s4"}
+    scenario.join(1)
+    scenario.run(1)
+    assert scenario.proxies[1].withdrawn == {"s4"}
+
+
+def test_many_joining_proxies_get_one_usable_line_at_once_and_all_others_when_the_channel_is_idle() -> None:
+    # Guards against joins that fill the channel with restorations, and against proxies that never get the remaining.
+    scenario = HostScenario(proxies=40)
+    names = [f"s{number}" for number in range(20)]
+    scenario.host.on_endpoint_update(scenario.now, WatchEvent.CACHED, ready_endpoints(*names))
+    scenario.decide()
+    for proxy in range(40):
+        scenario.proxies[proxy] = ProxyDouble()
+        scenario.proxies[proxy].withdrawn = set(names)
+        scenario.join(proxy)
+    while not all(double.tables for double in scenario.proxies.values()):
+        scenario.run(0.1)
+        for double in scenario.proxies.values():
+            assert not double.tables or set(double.tables[0]) - double.withdrawn
+    assert sum(len(double.withdrawn) for double in scenario.proxies.values()) > 40 * 15
+    for _ in range(100):
+        scenario.run(0.1)
+        limit = IDLE_QUEUE_FRACTION * scenario.host.policy.channel.max_queued_lines
+        assert scenario.host.policy.statistics().queued_lines < limit + len(names) + 7
+    assert not any(double.withdrawn for double in scenario.proxies.values())
+
+
 def test_an_acknowledgement_counts_once_and_only_on_the_stream_that_was_asked() -> None:
     scenario = HostScenario()
     scenario.host.on_endpoint_update(scenario.now, WatchEvent.CACHED, ready_endpoints("s1"))
@@ -209,6 +273,8 @@
             chance, proxy, name = generator.random(), generator.randrange(12), generator.choice(names)
             if chance < 0.25:
                 scenario.join(proxy)
+                # The proxy comes from another controller, which withdrew some backends.
+                scenario.proxies[proxy].withdrawn |= set(generator.sample(names, generator.randrange(4)))
             elif chance < 0.35 and proxy in scenario.streams:
                 assert scenario.host.on_stream_closed(scenario.now, proxy, scenario.streams.pop(proxy))
             elif chance < 0.5:
