--- a/onyxhead/policy/endpoints.py
+++ b/onyxhead/policy/endpoints.py
@@ -16,6 +16,10 @@
 MIN_HEALTH_WEIGHT = 0.05
 #: The number of departed backends to remember, so that their withdrawal can be repeated to proxies with old tables.
 MAX_DEPARTED_BACKENDS = 200
+#: The number of identifiers to remember of backends that departed before those; proxies still withdraw these.
+MAX_FORGOTTEN_BACKENDS = 8192
+#: The value of `withdrawn_at` if the time of the withdrawal has been forgotten.
+WITHDRAWN_LONG_AGO = 1
 
 
 @dataclass(slots=True, eq=False)
@@ -126,6 +130,8 @@
 
     def __init__(self, drain_grace: int, choose_subset: Callable[[Endpoint, Collection[Backend]], int]) -> None:
         self.by_id: dict[str, Backend] = {}
+        #: An ordered set of withdrawn backends that have left `by_id`, the oldest first.
+        self._forgotten: dict[str, None] = {}
         self._drain_grace = drain_grace
         self._choose_subset = choose_subset
 
@@ -164,6 +170,9 @@
         backend = self.by_id.get(entry.backend)
         if backend is None:
             backend = Backend(entry.backend, self._choose_subset(entry, self.by_id.values()))
+            if entry.backend in self._forgotten:
+                del self._forgotten[entry.backend]
+                backend.withdrawn_at = WITHDRAWN_LONG_AGO
             self.by_id[entry.backend] = backend
         backend.zone = entry.zone
         backend.kind = entry.kind
@@ -214,3 +223,6 @@
         surplus = max(0, len(withdrawn) - MAX_DEPARTED_BACKENDS)
         for backend in sorted(withdrawn, key=lambda backend: backend.withdrawn_at)[:surplus]:
             del self.by_id[backend.id]
+            self._forgotten[backend.id] = None
+        for identifier in list(self._forgotten)[: max(0, len(self._forgotten) - MAX_FORGOTTEN_BACKENDS)]:
+            del self._forgotten[identifier]
--- a/tests/test_policy_withdrawals.py
+++ b/tests/test_policy_withdrawals.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from onyxhead.policy.decisions import AcknowledgementRequest, TableChange, Withdrawal
 from tests.policy_harness import departed_endpoint, draining_endpoint, fleet, ready_endpoint
 
@@ -80,3 +82,33 @@
     harness.run(6)
     assert all(set(proxy.lines()) == {"b0", "b1"} for proxy in harness.proxies.values())
     assert harness.policy.proxies.by_id[2].has_tables
+
+
+def test_a_backend_that_returns_after_its_departure_was_forgotten_is_restored(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against a backend that stays withdrawn for good, since the policy no longer knows that it withdrew it.
+    monkeypatch.setattr("onyxhead.policy.endpoints.MAX_DEPARTED_BACKENDS", 2)
+    harness = fleet(6, 1)
+    for name in ("b2", "b3", "b4", "b5"):
+        harness.update_endpoints(departed_endpoint(name))
+        harness.run(3)
+    assert "b2" not in harness.policy.endpoints.by_id and "b2" in harness.proxies[1].withdrawn
+    harness.update_endpoints(ready_endpoint("b2", started_at=harness.now))
+    harness.run(3)
+    assert "b2" in harness.proxies[1].lines()
+    harness.join(2, "b0")
+    harness.run(3)
+    assert "b2" in harness.proxies[2].lines()
+
+
+def test_the_identifiers_of_forgotten_backends_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("onyxhead.policy.endpoints.MAX_DEPARTED_BACKENDS", 2)
+    monkeypatch.setattr("onyxhead.policy.endpoints.MAX_FORGOTTEN_BACKENDS", 3)
+    harness = fleet(2, 1)
+    for number in range(2, 12):
+        harness.update_endpoints(ready_endpoint(f"b{number}"))
+        harness.run(2)
+        harness.update_endpoints(departed_endpoint(f"b{number}"))
+        harness.run(2)
+    harness.update_endpoints(ready_endpoint("b0"))
+    assert len(harness.policy.endpoints.by_id) == 4
+    assert len(harness.policy.endpoints._forgotten) == 3
