--- a/onyxhead/node/decision_round.py
+++ b/onyxhead/node/decision_round.py
@@ -114,7 +114,7 @@
         for proxy, pending in self.updates.items():
             joined = self.state.joined[proxy]
             if self.number != NO_ROUND:
-                joined.awaited_rounds.append(awaited_round)
+                joined.await_round(awaited_round)
             update = self._complete(joined, pending)
             self.effects.updates.append(
                 AddressedUpdate(proxy, joined.stream, unique_updates.setdefault(update, update))
--- a/onyxhead/node/policy_host.py
+++ b/onyxhead/node/policy_host.py
@@ -19,7 +19,7 @@
 from onyxhead.time_units import TICKS_PER_SECOND
 
 SILENCE_TIMEOUT = 4 * TICKS_PER_SECOND
-"""The time after which a stream that has sent nothing can count as silent, if an acknowledgement is outstanding."""
+"""The time after which a stream can count as silent that has sent nothing since it was asked for an acknowledgement."""
 
 
 class StreamPolicyHost:
@@ -57,7 +57,7 @@
         if proxy in self.state.joined:
             self.counts[counters.STREAMS_REPLACED] += 1
             self._remove(now, proxy)
-        self.state.joined[proxy] = JoinedProxy(stream, zone, baseline_rate, now)
+        self.state.joined[proxy] = JoinedProxy(stream, zone, baseline_rate)
         self.policy.on_proxy_joined(now, proxy, zone, baseline_rate, has_standing_table)
         self.counts[counters.PROXIES_JOINED] += 1
 
@@ -73,7 +73,7 @@
         """Note that the stream has received a message of any kind, and let a silent stream resume."""
         if (joined := self._find_joined(proxy, stream)) is None:
             return
-        joined.last_message_at = now
+        joined.unanswered_since = None
         if joined.silent:
             # The policy regards a silent proxy as having left, and which updates the proxy has applied is unknown. So
             # the proxy joins the policy again, without a table.
@@ -123,9 +123,13 @@
         """Mark streams that have become silent, and return their proxies.
 
         The platform doesn't report a machine that has vanished, and its unacknowledged messages must not count as
-        waiting forever. A stream counts as silent if it has sent nothing for `SILENCE_TIMEOUT` while its oldest
-        outstanding round was sent before a round that another proxy has acknowledged. The second condition excludes a
-        slow channel, which delivers messages in order and so delays all proxies.
+        waiting forever. A stream counts as silent if it has sent nothing since it was asked to acknowledge a round
+        `SILENCE_TIMEOUT` ago, and another proxy has acknowledged a later round. The second condition excludes a slow
+        channel, which delivers messages in order and so delays all proxies.
+
+        A message of any kind, even an invalid one, shows that the stream is alive; an acknowledgement that arrived
+        invalid leaves its round outstanding for good, so outstanding rounds alone prove nothing. Each silent stream has
+        thus been asked for an answer, and resumes with it.
         """
         silent = [proxy for proxy, joined in self.state.joined.items() if self._is_silent(joined, now)]
         for proxy in silent:
@@ -136,11 +140,10 @@
         return silent
 
     def _is_silent(self, joined: JoinedProxy, now: int) -> bool:
-        if joined.silent or not joined.awaited_rounds:
+        if joined.silent or joined.unanswered_since is None:
             return False
-        oldest_sent_at = joined.awaited_rounds[0].sent_at
-        later_round_acknowledged = oldest_sent_at < self.last_acknowledged_sent_at
-        return later_round_acknowledged and now - max(joined.last_message_at, oldest_sent_at) > SILENCE_TIMEOUT
+        later_round_acknowledged = joined.unanswered_since < self.last_acknowledged_sent_at
+        return later_round_acknowledged and now - joined.unanswered_since > SILENCE_TIMEOUT
 
     def _find_joined(self, proxy: int, stream: Hashable) -> JoinedProxy | None:
         """Return the proxy, or None unless it is joined on this stream."""
--- a/onyxhead/node/proxy_state.py
+++ b/onyxhead/node/proxy_state.py
@@ -30,11 +30,17 @@
     stream: Hashable
     zone: int
     baseline_rate: float
-    last_message_at: int
+    unanswered_since: int | None = None  # send time of the first round since the last message on the stream
     silent: bool = False
     tables: dict[int, tuple[int, ...]] = field(default_factory=dict)  # traffic groups by table, as sent
     awaited_rounds: deque[AwaitedRound] = field(default_factory=lambda: deque(maxlen=MAX_AWAITED_ROUNDS))
 
+    def await_round(self, awaited: AwaitedRound) -> None:
+        """Note that the proxy is asked to acknowledge a round."""
+        self.awaited_rounds.append(awaited)
+        if self.unanswered_since is None:
+            self.unanswered_since = awaited.sent_at
+
 
 class KnownEndpoints:
     """The last known state of each endpoint that has been listed since the start and has not been dropped."""
--- a/tests/test_policy_host.py
+++ b/tests/test_policy_host.py
@@ -244,6 +244,49 @@
     assert scenario.host.detect_silent_streams(scenario.now) == []
 
 
+def test_a_proxy_whose_acknowledgement_arrived_invalid_is_not_silent_and_gets_withdrawals() -> None:
+    # Guards against a quiet but sound proxy that is sent nothing any more, because a round stays unacknowledged.
+    scenario = HostScenario()
+    scenario.host.on_endpoint_update(scenario.now, WatchEvent.CACHED, ready_endpoints("s1", "s2"))
+    for proxy in (1, 2):
+        scenario.join(proxy)
+    scenario.run(1, acknowledging=False)
+    scenario.host.on_message(scenario.now, 1, scenario.streams[1])  # the invalid acknowledgement
+    scenario.proxies[1].awaited_rounds.clear()
+    scenario.acknowledge(2)
+    scenario.join(3)  # gets a later round, which it acknowledges
+    scenario.run(1, acknowledging=False)
+    scenario.acknowledge(3)
+    scenario.now += 2 * SILENCE_TIMEOUT
+    assert scenario.host.detect_silent_streams(scenario.now) == []
+    scenario.host.on_endpoint_update(scenario.now, WatchEvent.DELTA, [policy_harness.draining_endpoint("s2")])
+    assert {proxy for proxy, update in scenario.decide() if update.withdrawn == ("s2",)} == {1, 2, 3}
+
+
+def test_a_stream_is_silent_only_after_an_unanswered_round_and_resumes_with_any_answer() -> None:
+    # Guards against streams that are taken for silent without having been asked, and so never speak again.
+    scenario = HostScenario()
+    scenario.host.on_endpoint_update(scenario.now, WatchEvent.CACHED, ready_endpoints("s1", "s2"))
+    for proxy in (1, 2):
+        scenario.join(proxy)
+    scenario.run(1, acknowledging=False)
+    scenario.host.on_message(scenario.now, 1, scenario.streams[1])
+    scenario.acknowledge(2)
+    scenario.now += 2 * SILENCE_TIMEOUT
+    for name in ("s2", "s1"):
+        scenario.host.on_endpoint_update(scenario.now, WatchEvent.DELTA, [policy_harness.draining_endpoint(name)])
+        assert {proxy for proxy, _ in scenario.decide()} == {1, 2}
+        scenario.acknowledge(2)
+        scenario.now += 1_000
+    assert scenario.host.detect_silent_streams(scenario.now) == []
+    scenario.now += SILENCE_TIMEOUT
+    assert scenario.host.detect_silent_streams(scenario.now) == [1]
+    scenario.host.on_endpoint_update(scenario.now, WatchEvent.DELTA, ready_endpoints("s1", started_at=scenario.now))
+    scenario.host.on_message(scenario.now, 1, scenario.streams[1])
+    scenario.run(3)
+    assert set(scenario.proxies[1].tables[0]) == {"s1"} and "s1" not in scenario.proxies[1].withdrawn
+
+
 def test_an_error_of_the_policy_keeps_the_decisions_before_it(monkeypatch: pytest.MonkeyPatch) -> None:
     scenario = HostScenario()
     scenario.host.on_endpoint_update(scenario.now, WatchEvent.CACHED, ready_endpoints("s1"))
