--- a/onyxhead/node/decision_round.py
+++ b/onyxhead/node/decision_round.py
@@ -129,10 +129,10 @@
     def _withdraw(self, backend: str) -> None:
         self.state.withdrawn[backend] = None
         for proxy, joined in self.state.joined.items():
-            # A proxy without tables from this controller may still use those of another one, which may have a line for
-            # the backend.
+            # Where a proxy has no table from this controller, it may still use that of another one, which may have a
+            # line for the backend.
             has_line = self.state.may_use(joined, backend)
-            if not joined.silent and (has_line or not joined.tables):
+            if not joined.silent and (has_line or self.state.lacks_a_table(joined)):
                 self._update_for(proxy).withdrawn[backend] = None
 
     def _restore(self, backend: str) -> None:
--- a/onyxhead/node/policy_host.py
+++ b/onyxhead/node/policy_host.py
@@ -30,7 +30,7 @@
 
     def __init__(self, deployment: Deployment, seed: int, now: int) -> None:
         self.policy = BalancingPolicy(deployment._replace(proxies_keep_withdrawals=True), seed, now)
-        self.state = ProxyState()
+        self.state = ProxyState(len(deployment.groups))
         self.last_acknowledged_sent_at = 0  # send time of the latest round that any proxy has acknowledged
         self.counts: Counter[str] = Counter()
 
--- a/onyxhead/node/proxy_state.py
+++ b/onyxhead/node/proxy_state.py
@@ -73,7 +73,8 @@
 class ProxyState:
     """The state sent to all joined proxies. Tables are shared, and each proxy refers to those it uses by number."""
 
-    def __init__(self) -> None:
+    def __init__(self, group_count: int) -> None:
+        self.group_count = group_count
         self.tables: dict[int, dict[str, float]] = {}
         self.admission: dict[int, dict[tuple[int, ...], AdmissionUpdate]] = {}  # by table and traffic groups
         self.withdrawn: dict[str, None] = {}
@@ -87,3 +88,8 @@
     def may_use(self, joined: JoinedProxy, backend: str) -> bool:
         """Return whether a table that the proxy uses has a line for the backend."""
         return any(backend in self.tables.get(table, {}) for table in joined.tables)
+
+    def lacks_a_table(self, joined: JoinedProxy) -> bool:
+        """Return whether some group has no table of this controller, so that the proxy may use old lines for it."""
+        groups = joined.tables.values()
+        return () not in groups and len({group for of_table in groups for group in of_table}) < self.group_count
--- a/onyxhead/policy/endpoints.py
+++ b/onyxhead/policy/endpoints.py
@@ -139,6 +139,14 @@
         """Return the backends that may get requests, in the order in which they were first listed."""
         return [backend for backend in self.by_id.values() if backend.ready]
 
+    def usable(self) -> list[Backend]:
+        """Return the backends that may get requests and are not withdrawn."""
+        return [backend for backend in self.by_id.values() if backend.ready and not backend.withdrawn_at]
+
+    def usable_tables(self) -> set[int]:
+        """Return the numbers of the tables with a line of a backend that is ready and not withdrawn."""
+        return {number for backend in self.usable() for number, weight in backend.lines.items() if weight}
+
     def last_departure(self) -> int:
         """Return the time of the last departure, 0 if none; a scheduled departure may be in the future."""
         return max((backend.departed_at or 0 for backend in self.by_id.values()), default=0)
--- a/onyxhead/policy/proxies.py
+++ b/onyxhead/policy/proxies.py
@@ -23,8 +23,12 @@
     subset: int
     #: The measured request rate, by traffic group.
     rates: list[float]
-    #: Set once the proxy has been assigned its tables.
+    #: Set once the proxy has been assigned its tables, as far as they had a usable line.
     has_tables: bool = False
+    #: Set if one of its tables had no usable line when the others were assigned.
+    lacks_a_table: bool = False
+    #: Set once the proxy has been sent the withdrawals that hold when it joined.
+    has_withdrawals: bool = False
     #: The times of the messages written to the proxy within the current message window.
     message_times: deque[int] = field(default_factory=deque)
     #: The numbers of the tables last assigned to the proxy; after a repartition, still those of the old partition.
@@ -55,6 +59,10 @@
         """Return the proxies that wait for their tables."""
         return [proxy for proxy in self.by_id.values() if not proxy.has_tables]
 
+    def lacking_a_table(self) -> list[Proxy]:
+        """Return the proxies that have been assigned only a part of their tables."""
+        return [proxy for proxy in self.by_id.values() if proxy.has_tables and proxy.lacks_a_table]
+
     def baseline_rate(self) -> float:
         """Return the usual requests a second at all proxies together."""
         return sum(proxy.baseline_rate for proxy in self.by_id.values())
--- a/onyxhead/policy/restorations.py
+++ b/onyxhead/policy/restorations.py
@@ -46,31 +46,36 @@
         self._queue_limit = IDLE_QUEUE_FRACTION * channel.max_queued_lines
         self._next_round = 0
 
-    def all_backends(self, tables: Iterable[Table]) -> list[Backend]:
-        """Return the backends that have a line in these tables and aren't withdrawn."""
-        numbers = [table.number for table in tables]
-        return [backend for backend in self._usable() if any(backend.lines.get(number) for number in numbers)]
-
-    def urgent_backends(self, now: int, proxy: Proxy, tables: Sequence[Table]) -> list[Backend]:
+    def with_tables(self, now: int, proxy: Proxy, tables: Sequence[Table], all_of_them: bool) -> tuple[str, ...]:
+        """Return the backends to restore at a proxy with these tables: all that have a line, or the urgent ones."""
+        if not self.enabled:
+            return ()
+        backends = self._with_line(tables) if all_of_them else self._urgent(now, proxy, tables)
+        return tuple(backend.id for backend in backends)
+
+    def _urgent(self, now: int, proxy: Proxy, tables: Sequence[Table]) -> list[Backend]:
         """Return the backends that a proxy must be able to use as soon as it has these tables.
 
         They are those that this controller saw return, and enough others that each table has a usable line.
         """
-        usable = self._usable()
-        urgent = {backend.id: backend for backend in self.all_backends(tables) if backend.returned}
+        urgent = {backend.id: backend for backend in self._with_line(tables) if backend.returned}
         for table in tables:
-            lines = [backend for backend in usable if backend.lines.get(table.number)]
-            if not any(self._is_warm(backend, now) for backend in lines):
+            lines = self._with_line([table])
+            warm = [backend for backend in lines if self._is_warm(backend, now)]
+            if not warm:
                 # A single warming backend would be overloaded by the requests for all of them.
                 urgent |= {backend.id: backend for backend in lines}
-                continue
-            warm = [backend for backend in lines if self._is_warm(backend, now)]
-            if not any(backend.id in urgent for backend in warm):
+            elif not any(backend.id in urgent for backend in warm):
                 # Proxies take different backends, so that none gets the requests of all.
                 chosen = warm[proxy.id % len(warm)]
                 urgent[chosen.id] = chosen
         return list(urgent.values())
 
+    def _with_line(self, tables: Iterable[Table]) -> list[Backend]:
+        """Return the backends that have a line in these tables and aren't withdrawn."""
+        numbers = [table.number for table in tables]
+        return [backend for backend in self._endpoints.usable() if any(backend.lines.get(n) for n in numbers)]
+
     def may_restore_remaining(self, now: int) -> bool:
         """Return whether the channel is nearly idle, so that remaining restorations may be sent."""
         return self.enabled and now >= self._next_round and self._channel.queued() < self._queue_limit
@@ -80,7 +85,7 @@
         self._next_round = now + INTERVAL_TICKS
         incomplete = [proxy for proxy in self._proxies.with_tables() if proxy.may_keep_withdrawals]
         for numbers, proxies in groupby(sorted(incomplete, key=_table_numbers), key=_table_numbers):
-            restored = tuple(b.id for b in self._usable() if any(b.lines.get(number) for number in numbers))
+            restored = tuple(b.id for b in self._endpoints.usable() if any(b.lines.get(number) for number in numbers))
             served = list(self._take_fitting(proxies, len(restored)))
             if served:
                 yield ProxyWithdrawals(tuple(proxy.id for proxy in served), (), restored)
@@ -96,9 +101,6 @@
             proxy.may_keep_withdrawals = False
             yield proxy
 
-    def _usable(self) -> list[Backend]:
-        return [backend for backend in self._endpoints.ready() if not backend.withdrawn_at]
-
     def _is_warm(self, backend: Backend, now: int) -> bool:
         return self._slow_start.warmup_fraction(backend, now) == 1
 
--- a/onyxhead/policy/table_assignment.py
+++ b/onyxhead/policy/table_assignment.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Sequence
+from typing import NamedTuple
 
 from onyxhead.policy.channel_budget import TABLE_QUEUE_FRACTION, URGENT_TABLE_QUEUE_FRACTION, ChannelBudget
 from onyxhead.policy.decisions import ProxyWithdrawals, TableAssignment
@@ -19,8 +20,24 @@
 BUSY_TIME_DIVISOR = 4
 
 
+class Assignment(NamedTuple):
+    """The tables that a proxy can be assigned, and the departed backends that old lines for other groups may hold.
+
+    `incomplete` is set if a table is missing. `cost` counts the lines, without restorations.
+    """
+
+    tables: list[Table]
+    incomplete: bool
+    withdrawn: tuple[str, ...]
+    cost: int
+
+
 class TableAssigner:
-    """Decides which of the proxies without assigned tables get them now."""
+    """Decides which of the proxies without assigned tables get them now.
+
+    A table without a usable line is left out, as it would replace the lines that a proxy still has. The proxy gets its
+    other tables all the same, and all of them again once the missing one is usable.
+    """
 
     def __init__(
         self,
@@ -48,51 +65,91 @@
 
         Withdrawals that a proxy may keep from earlier streams are ended with its tables.
         """
-        waiting = self._proxies.waiting_for_tables()
+        waiting = self._proxies.waiting_for_tables() + self._proxies.lacking_a_table()
         # Due withdrawals go first; full tables would take the room that they need.
         if not waiting or self._withdrawals.due(now, self._withdrawals.batching_window):
             return
+        usable = self._endpoints.usable_tables()
+        assignments = self._assignments(waiting, usable)
+        assignable = [proxy for proxy in waiting if _has_new_table(proxy, assignments[proxy.id])]
+        yield from self._withdraw_from_unassignable(now, waiting, assignments)
         repeats_pending = bool(self._withdrawals.due(now, -1))
         old_tables_unsafe = self._old_tables_may_be_unsafe(now)
-        usable = self._usable_tables()
-        for proxy in sorted(waiting, key=lambda candidate: _assignment_order(candidate, usable)):
-            tables = self._subsets.tables_for(proxy)
-            numbers = {table.number for table in tables}
-            # A table without usable lines would replace the lines that the proxy still has.
-            if not numbers <= usable:
-                continue
-            cost = self._cost(tables)
-            if repeats_pending and len(waiting) * cost > self._channel.lines_within(self._drain_grace) / 2:
+        for proxy in sorted(assignable, key=lambda candidate: _assignment_order(candidate, usable)):
+            assignment = assignments[proxy.id]
+            waiting_cost = len(assignable) * assignment.cost
+            if repeats_pending and waiting_cost > self._channel.lines_within(self._drain_grace) / 2:
                 return  # withdrawals must be repeated first; full tables for the waiting proxies would delay them
             waited_long = now - proxy.joined_at > self._withdrawals.batching_window
-            urgent = (old_tables_unsafe and waited_long) or not proxy.assigned_tables <= usable
-            restored = self._restored_with(now, proxy, tables, len(waiting) * cost)
-            if not self._fits(now, proxy, cost + len(restored), urgent):
+            urgent = (old_tables_unsafe and waited_long) or _may_have_no_line(proxy, usable)
+            postponed = self._must_postpone_restorations(waiting_cost)
+            restored = self._restorations.with_tables(now, proxy, assignment.tables, not postponed)
+            if not self._fits(now, proxy, assignment.cost + len(restored), urgent):
                 return
-            proxy.has_tables = True
-            proxy.assigned_tables = numbers
-            self._channel.reserve(cost + len(restored), [proxy])
-            for table in tables:
-                every_group = len(table.groups) == self._group_count
-                yield TableAssignment(proxy.id, table.number, () if every_group else tuple(table.groups))
-            if restored:
-                yield ProxyWithdrawals((proxy.id,), (), restored)
-
-    def _restored_with(self, now: int, proxy: Proxy, tables: Sequence[Table], waiting_cost: int) -> tuple[str, ...]:
-        """Return the backends to restore at a proxy with its tables, and note whether others remain.
-
-        `waiting_cost` is the cost of the tables of all waiting proxies, in lines.
+            proxy.may_keep_withdrawals = postponed and self._restorations.enabled
+            yield from self._carry_out(proxy, assignment, restored)
+
+    def _carry_out(
+        self, proxy: Proxy, assignment: Assignment, restored: tuple[str, ...]
+    ) -> Iterator[TableAssignment | ProxyWithdrawals]:
+        proxy.has_tables = proxy.has_withdrawals = True
+        proxy.assigned_tables = {table.number for table in assignment.tables}
+        proxy.lacks_a_table = assignment.incomplete
+        self._channel.reserve(assignment.cost + len(restored), [proxy])
+        for table in assignment.tables:
+            every_group = len(table.groups) == self._group_count
+            yield TableAssignment(proxy.id, table.number, () if every_group else tuple(table.groups))
+        if assignment.withdrawn or restored:
+            yield ProxyWithdrawals((proxy.id,), assignment.withdrawn, restored)
+
+    def _withdraw_from_unassignable(
+        self, now: int, waiting: Sequence[Proxy], assignments: dict[int, Assignment]
+    ) -> Iterator[ProxyWithdrawals]:
+        """Withdraw departed backends from the proxies that can't be assigned any table yet.
+
+        This is possible only where proxies keep withdrawals; elsewhere these are repeated to all proxies.
         """
+        for proxy in waiting:
+            withdrawn = assignments[proxy.id].withdrawn
+            if assignments[proxy.id].tables or proxy.has_withdrawals or not withdrawn:
+                continue
+            if not self._fits(now, proxy, len(withdrawn), urgent=True):
+                return
+            proxy.has_withdrawals = True
+            self._channel.reserve(len(withdrawn), [proxy])
+            yield ProxyWithdrawals((proxy.id,), withdrawn, ())
+
+    def _assignments(self, proxies: Sequence[Proxy], usable: set[int]) -> dict[int, Assignment]:
+        """Return what can be assigned to each of the proxies, by proxy; equal assignments are worked out only once."""
+        shared: dict[tuple[int, int, frozenset[int]], Assignment] = {}
+        assignments = {}
+        for proxy in proxies:
+            # A table that the proxy got from this controller holds no old lines that an empty table would replace.
+            assignable = usable | proxy.assigned_tables if proxy.has_tables else usable
+            key = proxy.subset, proxy.zone, frozenset(proxy.assigned_tables if proxy.has_tables else ())
+            if key not in shared:
+                tables = self._subsets.tables_for(proxy)
+                missing = [table for table in tables if table.number not in assignable]
+                assigned = [table for table in tables if table.number in assignable]
+                withdrawn = self._withdrawn_from(missing)
+                shared[key] = Assignment(assigned, bool(missing), withdrawn, self._cost(assigned) + len(withdrawn))
+            assignments[proxy.id] = shared[key]
+        return assignments
+
+    def _withdrawn_from(self, tables: Sequence[Table]) -> tuple[str, ...]:
+        """Return the withdrawn backends that old lines of proxies may hold for the groups of these tables."""
         if not self._restorations.enabled:
             return ()
-        backends = self._restorations.all_backends(tables)
-        # Each table line may need a restoration, which about doubles the cost of a join.
-        proxy.may_keep_withdrawals = (
-            2 * waiting_cost > self._channel.lines_within(self._drain_grace) / BUSY_TIME_DIVISOR
+        return tuple(
+            backend.id
+            for backend in self._endpoints.by_id.values()
+            if backend.departed and backend.withdrawn_at and any(table.allows_zone(backend.zone) for table in tables)
         )
-        if proxy.may_keep_withdrawals:
-            backends = self._restorations.urgent_backends(now, proxy, tables)
-        return tuple(backend.id for backend in backends)
+
+    def _must_postpone_restorations(self, waiting_cost: int) -> bool:
+        """Return whether restorations would delay the tables of the waiting proxies, which cost this many lines."""
+        # Each line of a table may need a restoration, which about doubles the cost of a join.
+        return 2 * waiting_cost > self._channel.lines_within(self._drain_grace) / BUSY_TIME_DIVISOR
 
     def _old_tables_may_be_unsafe(self, now: int) -> bool:
         """Return whether a table that a proxy had before it joined may list a withdrawn or warming backend."""
@@ -101,14 +158,6 @@
             for backend in self._endpoints.by_id.values()
         )
 
-    def _usable_tables(self) -> set[int]:
-        """Return the numbers of the tables with a line of a backend that is ready and not withdrawn."""
-        usable: set[int] = set()
-        for backend in self._endpoints.ready():
-            if not backend.withdrawn_at:
-                usable.update(number for number, weight in backend.lines.items() if weight)
-        return usable
-
     def _cost(self, tables: Sequence[Table]) -> int:
         """Return the cost of sending these tables, in lines, with withdrawals, assignments and admission levels."""
         cost = 0
@@ -129,10 +178,20 @@
         return busy_for <= self._drain_grace / BUSY_TIME_DIVISOR
 
 
+def _has_new_table(proxy: Proxy, assignment: Assignment) -> bool:
+    """Return whether the proxy can be assigned a table that it doesn't have yet."""
+    return any(not proxy.has_tables or table.number not in proxy.assigned_tables for table in assignment.tables)
+
+
+def _may_have_no_line(proxy: Proxy, usable: set[int]) -> bool:
+    """Return whether the proxy may have no usable line for some group, given the tables with a usable line."""
+    return proxy.lacks_a_table or not proxy.assigned_tables <= usable
+
+
 def _assignment_order(proxy: Proxy, usable: set[int]) -> tuple[bool, bool, float, int]:
-    """Return the sort key of a proxy that waits for its tables.
+    """Return the sort key of a proxy that waits for tables.
 
-    Proxies that use a table without a usable line come first, then those that only have the table they were started
-    with, then the busiest.
+    Proxies that may have no line come first, then those that only have the table they were started with, then the
+    busiest.
     """
-    return proxy.assigned_tables <= usable, not proxy.has_standing_table, -proxy.baseline_rate, proxy.id
+    return not _may_have_no_line(proxy, usable), not proxy.has_standing_table, -proxy.baseline_rate, proxy.id
--- a/onyxhead/policy/table_changes.py
+++ b/onyxhead/policy/table_changes.py
@@ -109,7 +109,7 @@
 
     def _all_tables_usable(self) -> bool:
         """Return whether each table has a line of a backend that is ready and not withdrawn."""
-        usable = [backend for backend in self._endpoints.ready() if not backend.withdrawn_at]
+        usable = self._endpoints.usable()
         return all(
             any(table.accepts(backend) and backend.lines[table.number] for backend in usable)
             for table in self._subsets.tables
--- a/onyxhead/policy/tables.py
+++ b/onyxhead/policy/tables.py
@@ -44,8 +44,8 @@
         return self.subset == proxy.subset % self.subset_count and self.home_zone in (None, proxy.zone)
 
     def users(self, proxies: Iterable[Proxy]) -> list[Proxy]:
-        """Return the proxies that should use the table and have been assigned their tables."""
-        return [proxy for proxy in proxies if proxy.has_tables and self.serves(proxy)]
+        """Return the proxies that have been assigned the table and should still use it."""
+        return [proxy for proxy in proxies if proxy.has_tables and self.number in proxy.assigned_tables]
 
 
 def create_base_tables(deployment: Deployment) -> list[Table]:
--- a/onyxhead/policy/withdrawals.py
+++ b/onyxhead/policy/withdrawals.py
@@ -62,16 +62,25 @@
 
     def _proxies_to_notify_again(self, now: int, min_wait: int) -> list[Proxy]:
         """Return the proxies for which withdrawals must be repeated because their tables will take too long."""
-        waiting = [proxy for proxy in self._proxies.waiting_for_tables() if now - proxy.joined_at > min_wait]
+        waiting = [
+            proxy
+            for proxy in self._proxies.waiting_for_tables()
+            if now - proxy.joined_at > min_wait and not proxy.has_withdrawals
+        ]
         # Repeating a withdrawal costs a message to each proxy whose line for the backend is not removed yet. If full
         # tables for the waiting proxies cost less, no withdrawal is repeated, and the proxies get their tables.
         table_size = len(self._endpoints.ready()) / self._subsets.count
         affordable = self._channel.message_cost * len(self._proxies)
         if self._subsets.count > 1:
             affordable = max(affordable, self._channel.lines_within(self._drain_grace) / 2)
-        if len(waiting) * (self._channel.message_cost + table_size) < affordable:
-            return []
-        return waiting
+        if len(waiting) * (self._channel.message_cost + table_size) >= affordable:
+            return waiting
+        # A proxy for which no table has a usable line yet gets none in time.
+        usable = self._endpoints.usable_tables() if waiting else set()
+        return [proxy for proxy in waiting if usable.isdisjoint(self._table_numbers(proxy))]
+
+    def _table_numbers(self, proxy: Proxy) -> Iterator[int]:
+        return (table.number for table in self._subsets.tables_for(proxy))
 
     def withdraw(self, now: int) -> Iterator[Withdrawal]:
         """Yield the due withdrawals and reserve room for them, as many as fit into the channel."""
@@ -120,7 +129,7 @@
     def _find_holders(self, due: Sequence[Backend], proxies: Sequence[Proxy]) -> dict[str, list[Proxy]]:
         """Return by backend the proxies that may have a line for it.
 
-        These are the users of its tables, and all proxies without assigned tables.
+        These are the users of its tables, and all proxies that lack a table and may use old lines in place of it.
         """
         tables_by_backend = {
             backend.id: tuple(table for table in self._subsets.tables_of(backend) if backend.lines[table.number])
@@ -129,7 +138,11 @@
         # This runs in each round while withdrawals wait, so backends in the same tables share one search.
         holders = {}
         for tables in set(tables_by_backend.values()):
-            holders[tables] = [p for p in proxies if not p.has_tables or any(table.serves(p) for table in tables)]
+            holders[tables] = [
+                proxy
+                for proxy in proxies
+                if not proxy.has_tables or proxy.lacks_a_table or any(table.serves(proxy) for table in tables)
+            ]
         return {backend: holders[tables] for backend, tables in tables_by_backend.items()}
 
 
--- a/tests/test_policy_host.py
+++ b/tests/test_policy_host.py
@@ -40,9 +40,12 @@
 class HostScenario:
     """A host and its proxies, which apply updates at once and acknowledge them when the test asks for it."""
 
-    def __init__(self, seed: int = 1, proxies: int = 40) -> None:
+    def __init__(self, seed: int = 1, proxies: int = 40, home_zone_only: bool = False) -> None:
+        """Create the host; with `home_zone_only`, the second group may use backends of the proxy's zone only."""
         self.now = START_TIME
-        settings = SETTINGS | {"extra": SETTINGS["extra"] | {"agents": proxies}}
+        settings = SETTINGS | {
+            "extra": SETTINGS["extra"] | {"agents": proxies, "classOwnZone": [False, home_zone_only]}
+        }
         self.deployment = read_deployment(settings)
         self.host = StreamPolicyHost(self.deployment, seed, self.now)
         self.proxies: dict[int, ProxyDouble] = {}
@@ -193,6 +196,47 @@
     assert not any(double.withdrawn for double in scenario.proxies.values())
 
 
+def test_a_proxy_that_joins_while_one_group_has_no_backend_gets_the_other_table_and_all_withdrawals() -> None:
+    # Guards against proxies that get no table and no withdrawal at all, because one group has no backend.
+    scenario = HostScenario(home_zone_only=True)
+    other_zone = [endpoint._replace(zone=1) for endpoint in ready_endpoints("s2", "s3")]
+    scenario.host.on_endpoint_update(scenario.now, WatchEvent.CACHED, [*ready_endpoints("s1"), *other_zone])
+    scenario.join(1)
+    scenario.run(2)
+    scenario.host.on_endpoint_update(scenario.now, WatchEvent.DELTA, [policy_harness.draining_endpoint("s1")])
+    scenario.run(1)
+    scenario.proxies[2] = ProxyDouble()
+    scenario.proxies[2].tables = {0: {"s1": 1.0, "s4": 1.0}, 1: {"s1": 1.0}}  # of another controller
+    scenario.join(2)
+    scenario.run(0.5)
+    assert set(scenario.proxies[2].tables[0]) == {"s2", "s3"} and scenario.proxies[2].withdrawn == {"s1"}
+    # Its old line for the other group stays, and backends that leave later are withdrawn there as well.
+    scenario.host.on_endpoint_update(scenario.now, WatchEvent.DELTA, [policy_harness.draining_endpoint("s2")])
+    scenario.run(0.5)
+    assert scenario.proxies[2].tables[1] == {"s1": 1.0} and scenario.proxies[2].withdrawn == {"s1", "s2"}
+    scenario.host.on_endpoint_update(scenario.now, WatchEvent.DELTA, ready_endpoints("s1", started_at=scenario.now))
+    scenario.run(2)
+    for group in (0, 1):
+        assert scenario.proxies[2].tables[group] == scenario.proxies[1].tables[group]
+    assert scenario.proxies[2].withdrawn == {"s2"}
+
+
+def test_a_proxy_for_which_no_group_has_a_backend_gets_all_withdrawals() -> None:
+    scenario = HostScenario()
+    scenario.host.on_endpoint_update(scenario.now, WatchEvent.CACHED, ready_endpoints("s1", "s2"))
+    scenario.join(1)
+    scenario.run(2)
+    draining = [policy_harness.draining_endpoint(name) for name in ("s1", "s2")]
+    scenario.host.on_endpoint_update(scenario.now, WatchEvent.DELTA, draining)
+    scenario.run(60)
+    scenario.proxies[2] = ProxyDouble()
+    scenario.proxies[2].tables = {0: {"s1": 1.0}, 1: {"s2": 1.0}}
+    scenario.join(2)
+    scenario.run(0.5)
+    assert scenario.proxies[2].withdrawn == {"s1", "s2"}
+    assert [proxy for proxy, _ in scenario.decide()] == []
+
+
 def test_an_acknowledgement_counts_once_and_only_on_the_stream_that_was_asked() -> None:
     scenario = HostScenario()
     scenario.host.on_endpoint_update(scenario.now, WatchEvent.CACHED, ready_endpoints("s1"))
@@ -305,19 +349,30 @@
     assert len(effects.errors) == 1 and "broken" in effects.errors[0]
 
 
-@pytest.mark.parametrize(("backends", "proxies"), [(8, 40), (40, 400)], ids=["one table", "narrow tables"])
-def test_on_generated_schedules_proxies_hold_the_tables_of_the_host(backends: int, proxies: int) -> None:
+@pytest.mark.parametrize(
+    ("backends", "proxies", "in_home_zone"),
+    [(8, 40, 8), (40, 400, 40), (8, 40, 1)],
+    ids=["one table", "narrow tables", "a group with one backend"],
+)
+def test_on_generated_schedules_proxies_hold_the_tables_of_the_host(
+    backends: int, proxies: int, in_home_zone: int
+) -> None:
     for seed in range(12):
         generator = random.Random(seed)
-        scenario, names = HostScenario(seed, proxies), [f"s{number}" for number in range(backends)]
-        scenario.host.on_endpoint_update(scenario.now, WatchEvent.CACHED, ready_endpoints(*names))
+        scenario = HostScenario(seed, proxies, home_zone_only=in_home_zone < backends)
+        names = [f"s{number}" for number in range(backends)]
+        zones = {name: int(number >= in_home_zone) for number, name in enumerate(names)}
+        endpoints = [endpoint._replace(zone=zones[endpoint.backend]) for endpoint in ready_endpoints(*names)]
+        scenario.host.on_endpoint_update(scenario.now, WatchEvent.CACHED, endpoints)
         for _ in range(150):
             scenario.now += generator.randint(40, 6_000)
             chance, proxy, name = generator.random(), generator.randrange(12), generator.choice(names)
             if chance < 0.25:
                 scenario.join(proxy)
-                # The proxy comes from another controller, which withdrew some backends.
+                # The proxy comes from another controller, with other lines and withdrawals.
                 scenario.proxies[proxy].withdrawn |= set(generator.sample(names, generator.randrange(4)))
+                home_zone = [name for name in names if not zones[name]]
+                scenario.proxies[proxy].tables = {0: dict.fromkeys(names, 1.0), 1: dict.fromkeys(home_zone, 1.0)}
             elif chance < 0.35 and proxy in scenario.streams:
                 assert scenario.host.on_stream_closed(scenario.now, proxy, scenario.streams.pop(proxy))
             elif chance < 0.5:
@@ -330,7 +385,7 @@
                     else scenario.host.state.endpoints.listed[name].started_at
                 )
                 scenario.host.on_endpoint_update(
-                    scenario.now, WatchEvent.DELTA, [endpoint._replace(started_at=started_at)]
+                    scenario.now, WatchEvent.DELTA, [endpoint._replace(zone=zones[name], started_at=started_at)]
                 )
             elif chance < 0.6:
                 scenario.host.on_attempt_statistics(
@@ -351,7 +406,12 @@
         scenario.run(25)
         assert (scenario.host.policy.statistics().subset_count > 1) == (backends > 8)
         tables = scenario.host.state.tables
+        listed = scenario.host.state.endpoints.listed
+        departed = {name for name in names if not listed[name].ready}
         for proxy in scenario.streams:
+            for group in (0, 1):
+                usable = set(scenario.proxies[proxy].tables[group]) - scenario.proxies[proxy].withdrawn
+                assert not departed & usable, f"seed {seed}: {proxy}, group {group}"
             double, joined = scenario.proxies[proxy], scenario.host.state.joined[proxy]
             assert joined.tables, f"seed {seed}: {proxy} was never assigned a table"
             for table, groups in joined.tables.items():
--- a/tests/test_policy_table_assignment.py
+++ b/tests/test_policy_table_assignment.py
@@ -4,12 +4,14 @@
 
 from onyxhead.policy.decisions import TableChange, Withdrawal
 from onyxhead.policy.inputs import ChannelLimits
+from onyxhead.time_units import TICKS_PER_SECOND
 from tests.policy_harness import (
     DRAIN_GRACE,
     PolicyHarness,
     deployment,
     draining_endpoint,
     fleet,
+    ready_endpoint,
     report_traffic,
     traffic_group,
 )
@@ -35,6 +37,37 @@
     ]
 
 
+def test_a_group_without_backends_delays_no_table_of_another_group() -> None:
+    # Guards against proxies that join while one zone has no backend and get neither tables nor withdrawals.
+    backends = [ready_endpoint(f"b{n}", zone=n % 3) for n in range(6)]
+    harness = PolicyHarness(deployment(traffic_group(), traffic_group(home_zone_only=True)), backends)
+    harness.join(1, "b0", "b1")
+    harness.run(1)
+    harness.update_endpoints(draining_endpoint("b0"), draining_endpoint("b3"))
+    harness.run(1)
+    harness.join(2, "b0", "b1")
+    harness.run(0.3)
+    assert set(harness.proxies[2].lines(0)) == {"b1", "b2", "b4", "b5"}
+    returning = [ready_endpoint(name, started_at=harness.now) for name in ("b0", "b3")]
+    harness.update_endpoints(*returning)
+    harness.run(2)
+    assert [set(harness.proxies[proxy].lines(1)) for proxy in (1, 2)] == [{"b0", "b3"}, {"b0", "b3"}]
+
+
+def test_withdrawals_are_repeated_to_the_few_proxies_that_no_table_can_be_assigned() -> None:
+    # Guards against waiting for full tables that would cost less but can't be sent.
+    home_zone = traffic_group(home_zone_only=True)
+    harness = PolicyHarness(deployment(home_zone), [ready_endpoint(f"b{n}", zone=n % 3) for n in range(6)])
+    for proxy in range(10):
+        harness.join(proxy, "b0", "b1")
+    harness.run(1)
+    harness.update_endpoints(draining_endpoint("b0"), draining_endpoint("b3"))
+    harness.run(3)
+    harness.join(20, "b0", "b3")
+    harness.run(DRAIN_GRACE / TICKS_PER_SECOND)
+    assert not harness.proxies[20].lines()
+
+
 def test_withdrawals_without_receivers_delay_no_assignment() -> None:
     # Withdrawals were repeated for joining proxies that had no line of the withdrawn backends. Messages for these were
     # never sent, hence never acknowledged, and counted as queued for minutes.
