--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -6,7 +6,7 @@
 import json
 import sys
 
-NAMES = ("swaps", "batch", "fan", "days", "commits", "tables", "intake", "routes", "operate")
+NAMES = ("swaps", "batch", "fan", "days", "commits", "tables", "intake", "routes", "operate", "joins")
 """The benchmarks, each in the module of that name.
 
 The `measure` function of a module takes the remaining command line arguments and returns the results.
--- a/onyxhead/policy/restorations.py
+++ b/onyxhead/policy/restorations.py
@@ -76,9 +76,13 @@
         numbers = [table.number for table in tables]
         return [backend for backend in self._endpoints.usable() if any(backend.lines.get(n) for n in numbers)]
 
+    def leave_channel_idle(self, lines: float) -> bool:
+        """Return whether the channel is nearly idle also with this many further lines."""
+        return self._channel.queued() + lines < self._queue_limit
+
     def may_restore_remaining(self, now: int) -> bool:
-        """Return whether the channel is nearly idle, so that remaining restorations may be sent."""
-        return self.enabled and now >= self._next_round and self._channel.queued() < self._queue_limit
+        """Return whether remaining restorations may be sent."""
+        return self.enabled and now >= self._next_round and self.leave_channel_idle(0)
 
     def restore_remaining(self, now: int) -> Iterator[ProxyWithdrawals]:
         """Restore the backends that proxies were not sent with their tables, as far as the channel is nearly idle."""
@@ -93,7 +97,7 @@
     def _take_fitting(self, proxies: Iterable[Proxy], lines: int) -> Iterator[Proxy]:
         """Yield the proxies that can be sent this many lines now, and reserve room for them."""
         for proxy in proxies:
-            if self._channel.queued() >= self._queue_limit:
+            if not self.leave_channel_idle(0):
                 return
             if self._channel.available(CHANGE_QUEUE_FRACTION, [proxy]) < lines:
                 continue
--- a/onyxhead/policy/table_assignment.py
+++ b/onyxhead/policy/table_assignment.py
@@ -82,7 +82,8 @@
                 return  # withdrawals must be repeated first; full tables for the waiting proxies would delay them
             waited_long = now - proxy.joined_at > self._withdrawals.batching_window
             urgent = (old_tables_unsafe and waited_long) or _may_have_no_line(proxy, usable)
-            postponed = self._must_postpone_restorations(waiting_cost)
+            # Each line of a table may need a restoration, which about doubles the cost of a join.
+            postponed = not self._restorations.leave_channel_idle(2 * waiting_cost)
             restored = self._restorations.with_tables(now, proxy, assignment.tables, not postponed)
             if not self._fits(now, proxy, assignment.cost + len(restored), urgent):
                 return
@@ -146,11 +147,6 @@
             if backend.departed and backend.withdrawn_at and any(table.allows_zone(backend.zone) for table in tables)
         )
 
-    def _must_postpone_restorations(self, waiting_cost: int) -> bool:
-        """Return whether restorations would delay the tables of the waiting proxies, which cost this many lines."""
-        # Each line of a table may need a restoration, which about doubles the cost of a join.
-        return 2 * waiting_cost > self._channel.lines_within(self._drain_grace) / BUSY_TIME_DIVISOR
-
     def _old_tables_may_be_unsafe(self, now: int) -> bool:
         """Return whether a table that a proxy had before it joined may list a withdrawn or warming backend."""
         return any(
