--- a/onyxhead/policy/subsetting.py
+++ b/onyxhead/policy/subsetting.py
@@ -112,8 +112,8 @@
             lacks_warm = any(not any(self._is_warm(b, now) for b in accepted) for _, accepted, _ in members)
             expired = now > self._repartitioned_at + CONNECTION_LIMIT_DURATION_TICKS
             return lacks_warm or last_departure > self._repartitioned_at or expired
-        # A subset may lose all its backends to departures while other subsets have enough of them.
-        empty = any(not accepted and len(backends) >= table.subset_count for table, accepted, backends in members)
+        # A subset may lose all its backends to departures while other subsets have some.
+        empty = any(not accepted and backends for _, accepted, backends in members)
         grown = max(channel_counts) >= 2 * self.count
         return grown or (empty and now > self._repartitioned_at + self._drain_grace)
 
--- a/tests/test_policy_subsetting.py
+++ b/tests/test_policy_subsetting.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from onyxhead.policy.decisions import Withdrawal
+from onyxhead.policy.decisions import TableAssignment, Withdrawal
 from onyxhead.policy.inputs import HealthCheckResult
 from onyxhead.time_units import TICKS_PER_SECOND
 from tests.policy_harness import (
@@ -121,6 +121,23 @@
     assert all(set(proxy.lines()) - lost and not set(proxy.lines()) & lost for proxy in harness.proxies.values())
 
 
+def test_proxies_of_an_empty_subset_get_lines_if_fewer_backends_than_subsets_are_left() -> None:
+    # Guards against proxies that never get a line, although warm backends are ready in another subset.
+    harness = fleet(50, *range(8), proxy_count=40)
+    harness.run(4)
+    names = set(harness.policy.endpoints.by_id)
+    left = min(names - set(harness.proxies[0].lines()))
+    assert harness.policy.subsets.count > 1
+    harness.update_endpoints(*(departed_endpoint(name) for name in sorted(names - {left})))
+    harness.run(UNSERVED_LIMIT / TICKS_PER_SECOND)
+    assert [set(proxy.lines()) for proxy in harness.proxies.values()] == [{left}] * 8
+    # The tables stay as they are while no backend is ready at all.
+    harness.update_endpoints(departed_endpoint(left))
+    harness.decisions.clear()
+    harness.run(2 * DRAIN_GRACE / TICKS_PER_SECOND)
+    assert not any(isinstance(decision, TableAssignment) for decision in harness.decisions)
+
+
 def test_returning_and_new_backends_get_a_subset_after_the_number_of_subsets_fell() -> None:
     harness = fleet(50, *range(30), proxy_count=40)
     harness.repartition(30, connection_limited=True)  # as if backends accepted few connections
