--- a/onyxhead/policy/balancer.py
+++ b/onyxhead/policy/balancer.py
@@ -227,7 +227,7 @@
             self._last_change_round = now
             yield from self._decide_changes(now, ready)
         yield from self.table_assigner.assign(now)
-        if self.restorations.may_restore_remaining(now) and not self._withdrawals_wait(now):
+        if self.restorations.remaining_due(now) and not self._withdrawals_wait(now):
             yield from self.restorations.restore_remaining(now)
         if self.channel.reserved:
             self.channel.finish_round(now, self.proxies)
--- a/onyxhead/policy/proxies.py
+++ b/onyxhead/policy/proxies.py
@@ -35,6 +35,13 @@
     assigned_tables: set[int] = field(default_factory=set)
     #: Set while the proxy may still obey withdrawals of earlier streams for backends in its assigned tables.
     may_keep_withdrawals: bool = False
+    #: The backends that were restored with its tables.
+    restored: frozenset[str] = frozenset()
+
+    @property
+    def lacks_tables(self) -> bool:
+        """Return whether the proxy may still use old lines for some group, as it lacks a table for it."""
+        return not self.has_tables or self.lacks_a_table
 
 
 class ProxyRegistry:
@@ -59,9 +66,9 @@
         """Return the proxies that wait for their tables."""
         return [proxy for proxy in self.by_id.values() if not proxy.has_tables]
 
-    def lacking_a_table(self) -> list[Proxy]:
-        """Return the proxies that have been assigned only a part of their tables."""
-        return [proxy for proxy in self.by_id.values() if proxy.has_tables and proxy.lacks_a_table]
+    def lacking_tables(self) -> list[Proxy]:
+        """Return the proxies that have been assigned none or only a part of their tables."""
+        return [proxy for proxy in self.by_id.values() if proxy.lacks_tables]
 
     def baseline_rate(self) -> float:
         """Return the usual requests a second at all proxies together."""
--- a/onyxhead/policy/subsetting.py
+++ b/onyxhead/policy/subsetting.py
@@ -35,6 +35,8 @@
         #: The tables of all subsets; those split from the same base table follow each other.
         self.tables = self._base_tables
         self._tables_by_base: list[list[Table]] = [[table] for table in self._base_tables]
+        #: The tables of proxies by subset and zone, as far as they have been asked for.
+        self._tables_by_user: dict[tuple[int, int], list[Table]] = {}
         self._backends_per_table = _backends_per_table(deployment)
         self._drain_grace = deployment.safety.drain_grace
         self._feedback_delay = feedback_delay
@@ -47,7 +49,10 @@
 
     def tables_for(self, proxy: Proxy) -> list[Table]:
         """Return the tables that a proxy should use."""
-        return [table for table in self.tables if table.serves(proxy)]
+        key = proxy.subset, proxy.zone
+        if key not in self._tables_by_user:
+            self._tables_by_user[key] = [table for table in self.tables if table.serves(proxy)]
+        return self._tables_by_user[key]
 
     def least_busy_subset(self, proxies: Collection[Proxy]) -> int:
         """Return the subset for a proxy that joins: the one whose proxies have the lowest baseline rate."""
@@ -146,6 +151,7 @@
                 subset_tables.append(Table(number, base.zones, base.home_zone, base.groups, subset, count))
             self._tables_by_base.append(subset_tables)
         self.tables = [table for subset_tables in self._tables_by_base for table in subset_tables]
+        self._tables_by_user.clear()
 
     def _distribute_proxies(self, proxies: Collection[Proxy]) -> list[float]:
         """Assign proxies, busiest first, to the least busy subset each; return the request rates of the subsets."""
--- a/onyxhead/policy/table_assignment.py
+++ b/onyxhead/policy/table_assignment.py
@@ -65,7 +65,7 @@
 
         Withdrawals that a proxy may keep from earlier streams are ended with its tables.
         """
-        waiting = self._proxies.waiting_for_tables() + self._proxies.lacking_a_table()
+        waiting = self._proxies.lacking_tables()
         # Due withdrawals go first; full tables would take the room that they need.
         if not waiting or self._withdrawals.due(now, self._withdrawals.batching_window):
             return
@@ -88,6 +88,7 @@
             if not self._fits(now, proxy, assignment.cost + len(restored), urgent):
                 return
             proxy.may_keep_withdrawals = postponed and self._restorations.enabled
+            proxy.restored = frozenset(restored)
             yield from self._carry_out(proxy, assignment, restored)
 
     def _carry_out(
--- a/onyxhead/policy/withdrawals.py
+++ b/onyxhead/policy/withdrawals.py
@@ -77,10 +77,7 @@
             return waiting
         # A proxy for which no table has a usable line yet gets none in time.
         usable = self._endpoints.usable_tables() if waiting else set()
-        return [proxy for proxy in waiting if usable.isdisjoint(self._table_numbers(proxy))]
-
-    def _table_numbers(self, proxy: Proxy) -> Iterator[int]:
-        return (table.number for table in self._subsets.tables_for(proxy))
+        return [proxy for proxy in waiting if not any(t.number in usable for t in self._subsets.tables_for(proxy))]
 
     def withdraw(self, now: int) -> Iterator[Withdrawal]:
         """Yield the due withdrawals and reserve room for them, as many as fit into the channel."""
@@ -139,9 +136,7 @@
         holders = {}
         for tables in set(tables_by_backend.values()):
             holders[tables] = [
-                proxy
-                for proxy in proxies
-                if not proxy.has_tables or proxy.lacks_a_table or any(table.serves(proxy) for table in tables)
+                proxy for proxy in proxies if proxy.lacks_tables or any(table.serves(proxy) for table in tables)
             ]
         return {backend: holders[tables] for backend, tables in tables_by_backend.items()}
 
--- a/tests/test_policy_host.py
+++ b/tests/test_policy_host.py
@@ -196,6 +196,26 @@
     assert not any(double.withdrawn for double in scenario.proxies.values())
 
 
+def test_a_proxy_that_loses_the_line_that_it_can_use_gets_the_others_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against proxies without a line while the channel is never idle.
+    monkeypatch.setattr("onyxhead.policy.restorations.IDLE_QUEUE_FRACTION", 0.0)
+    scenario = HostScenario(proxies=40)
+    names = [f"s{number}" for number in range(20)]
+    scenario.host.on_endpoint_update(scenario.now, WatchEvent.CACHED, ready_endpoints(*names))
+    scenario.decide()
+    for proxy in range(40):
+        scenario.proxies[proxy] = ProxyDouble()
+        scenario.proxies[proxy].withdrawn = set(names)
+        scenario.join(proxy)
+    scenario.run(3)
+    assert all(len(double.withdrawn) == 19 for double in scenario.proxies.values())
+    draining = [policy_harness.draining_endpoint(name) for name in names[:10]]
+    scenario.host.on_endpoint_update(scenario.now, WatchEvent.DELTA, draining)
+    scenario.run(1)
+    for double in scenario.proxies.values():
+        assert set(double.tables[0]) - double.withdrawn - set(names[:10])
+
+
 def test_a_proxy_that_joins_while_one_group_has_no_backend_gets_the_other_table_and_all_withdrawals() -> None:
     # Guards against proxies that get no table and no withdrawal at all, because one group has no backend.
     scenario = HostScenario(home_zone_only=True)
