--- a/onyxhead/policy/balancer.py
+++ b/onyxhead/policy/balancer.py
@@ -55,6 +55,7 @@
     late_fraction: float
     admitted_fraction: float
     subset_count: int
+    postponed_restorations: int
 
 
 class WarmingBackend(NamedTuple):
@@ -198,6 +199,7 @@
             late_fraction=self.admission.late_fraction,
             admitted_fraction=self.admission.admitted_fraction,
             subset_count=self.subsets.count,
+            postponed_restorations=sum(proxy.restorations_postponed for proxy in self.proxies.by_id.values()),
         )
 
     def warming_backends(self, now: int) -> list[WarmingBackend]:
--- a/tests/test_policy_host.py
+++ b/tests/test_policy_host.py
@@ -190,10 +190,12 @@
         for double in scenario.proxies.values():
             assert not double.tables or set(double.tables[0]) - double.withdrawn
     assert sum(len(double.withdrawn) for double in scenario.proxies.values()) > 40 * 15
+    assert scenario.host.statistics()["postponed"] > 30
     for _ in range(100):
         scenario.run(0.1)
         limit = IDLE_QUEUE_FRACTION * scenario.host.policy.channel.max_queued_lines
         assert scenario.host.policy.statistics().queued_lines < limit + len(names) + 7
+    assert scenario.host.statistics()["postponed"] == 0
     assert not any(double.withdrawn for double in scenario.proxies.values())
 
 
@@ -249,6 +251,7 @@
     scenario.join(2)
     scenario.run(0.5)
     assert set(scenario.proxies[2].tables[0]) == {"s2", "s3"} and scenario.proxies[2].withdrawn == {"s1"}
+    assert scenario.host.statistics()["lacking"] == 1
     # Its old line for the other group stays, and backends that leave later are withdrawn there as well.
     scenario.host.on_endpoint_update(scenario.now, WatchEvent.DELTA, [policy_harness.draining_endpoint("s2")])
     scenario.run(0.5)
@@ -257,6 +260,7 @@
     scenario.run(2)
     for group in (0, 1):
         assert scenario.proxies[2].tables[group] == scenario.proxies[1].tables[group]
+    assert scenario.host.statistics()["lacking"] == 0
     assert scenario.proxies[2].withdrawn == {"s2"}
 
 
