--- a/onyxhead/policy/channel_budget.py
+++ b/onyxhead/policy/channel_budget.py
@@ -72,14 +72,20 @@
         The result is negative if there is no room, or if a receiver has reached its limit of messages.
         """
         new_receivers = [proxy for proxy in receivers if proxy.id not in self.reserved]
-        # Withdrawals may use all messages that a proxy may be sent, other decisions only a fraction of them.
-        urgent = fraction >= WITHDRAWAL_QUEUE_FRACTION
-        max_messages = self._max_messages if urgent else self._max_messages * fraction
-        if self._max_messages and any(len(proxy.message_times) + 1 > max_messages for proxy in new_receivers):
+        if self._max_messages and not all(self.allows_message(fraction, proxy) for proxy in new_receivers):
             return -1.0
         lines_left = fraction * self.max_queued_lines - self.queued() - self.message_cost * len(new_receivers)
         return lines_left / max(1, len(receivers))
 
+    def allows_message(self, fraction: float, proxy: Proxy) -> bool:
+        """Return whether a proxy may be sent another message without using more than `fraction` of its limit."""
+        if not self._max_messages or proxy.id in self.reserved:
+            return True
+        # Withdrawals may use all messages that a proxy may be sent, other decisions only a fraction of them.
+        urgent = fraction >= WITHDRAWAL_QUEUE_FRACTION
+        max_messages = self._max_messages if urgent else self._max_messages * fraction
+        return len(proxy.message_times) + 1 <= max_messages
+
     def reserve(self, lines: float, receivers: Sequence[Proxy]) -> None:
         """Reserve lines for each receiver, and the cost of a message if it gets its first one in this round."""
         reserved = self.reserved
--- a/onyxhead/policy/table_assignment.py
+++ b/onyxhead/policy/table_assignment.py
@@ -75,10 +75,13 @@
                 return  # withdrawals must be repeated first; full tables for the waiting proxies would delay them
             waited_long = now - proxy.joined_at > self._withdrawals.batching_window
             urgent = (old_tables_unsafe and waited_long) or _may_have_no_line(proxy, usable)
+            queue_fraction = URGENT_TABLE_QUEUE_FRACTION if urgent else TABLE_QUEUE_FRACTION
+            if not self._channel.allows_message(queue_fraction, proxy):
+                continue
             # Each line of a table may need a restoration, which about doubles the cost of a join.
             postponed = not self._restorations.leave_channel_idle(2 * waiting_cost)
             restored = self._restorations.with_tables(now, proxy, assignment.tables, postponed)
-            if not self._fits(now, proxy, assignment.cost + len(restored), urgent):
+            if not self._fits(now, proxy, assignment.cost + len(restored), queue_fraction):
                 return
             proxy.restored, proxy.restorations_postponed = set(restored), postponed
             yield from self._carry_out(proxy, assignment, restored)
@@ -107,7 +110,9 @@
             withdrawn = assignments[proxy.id].withdrawn
             if assignments[proxy.id].tables or proxy.has_withdrawals or not withdrawn:
                 continue
-            if not self._fits(now, proxy, len(withdrawn), urgent=True):
+            if not self._channel.allows_message(URGENT_TABLE_QUEUE_FRACTION, proxy):
+                continue
+            if not self._fits(now, proxy, len(withdrawn), URGENT_TABLE_QUEUE_FRACTION):
                 return
             proxy.has_withdrawals = True
             self._channel.reserve(len(withdrawn), [proxy])
@@ -157,9 +162,9 @@
                     cost += (backend.lines[table.number] > 0) + (backend.withdrawn_at > 0)
         return cost
 
-    def _fits(self, now: int, proxy: Proxy, cost: int, urgent: bool) -> bool:
+    def _fits(self, now: int, proxy: Proxy, cost: int, queue_fraction: float) -> bool:
         channel = self._channel
-        if channel.available(URGENT_TABLE_QUEUE_FRACTION if urgent else TABLE_QUEUE_FRACTION, [proxy]) < cost:
+        if channel.available(queue_fraction, [proxy]) < cost:
             return False
         # A withdrawal that becomes due next must still arrive within the drain grace, so the channel may be busy for a
         # part of the grace only. The second estimate is the lower one if acknowledgements arrive sooner than expected.
--- a/tests/test_policy_table_assignment.py
+++ b/tests/test_policy_table_assignment.py
@@ -54,6 +54,19 @@
     assert [set(harness.proxies[proxy].lines(1)) for proxy in (1, 2)] == [{"b0", "b3"}, {"b0", "b3"}]
 
 
+def test_a_proxy_at_its_limit_of_messages_delays_no_table_of_another_proxy() -> None:
+    # Guards against tables that wait for a proxy which has been sent many messages.
+    channel = deployment().channel._replace(max_messages=10, message_window=10 * TICKS_PER_SECOND)
+    harness = fleet(6, 1, 2, channel=channel)
+    harness.policy.proxies.by_id[1].message_times.extend([harness.now] * 9)
+    harness.repartition(2, connection_limited=False)
+    harness.run(2)
+    has_tables = {number: proxy.has_tables for number, proxy in harness.policy.proxies.by_id.items()}
+    assert has_tables == {1: False, 2: True}
+    harness.run(10)
+    assert harness.policy.proxies.by_id[1].has_tables
+
+
 def test_withdrawals_are_repeated_to_the_few_proxies_that_no_table_can_be_assigned() -> None:
     # Guards against waiting for full tables that would cost less but can't be sent.
     home_zone = traffic_group(home_zone_only=True)
