--- a/onyxhead/policy/restorations.py
+++ b/onyxhead/policy/restorations.py
@@ -28,16 +28,14 @@
 #: The shortest time between two rounds that send remaining restorations.
 INTERVAL_TICKS = TICKS_PER_SECOND // 4
 
+UsableLines = dict[int, list[Backend]]
+"""The backends with a line in each table that aren't withdrawn, by the number of the table."""
+
 
 class RestorationScheduler:
     """Decides which backends to restore at a proxy with its tables, and which ones later."""
 
-    def __init__(
-        self,
-        state: PolicyState,
-        slow_start: SlowStart,
-        deployment: Deployment,
-    ) -> None:
+    def __init__(self, state: PolicyState, slow_start: SlowStart, deployment: Deployment) -> None:
         self.enabled = deployment.proxies_keep_withdrawals
         self._channel = state.channel
         self._endpoints = state.endpoints
@@ -45,7 +43,18 @@
         self._slow_start = slow_start
         self._next_round = 0
 
-    def with_tables(self, now: int, proxy: Proxy, tables: Sequence[Table], postponed: bool) -> tuple[str, ...]:
+    def usable_lines(self) -> UsableLines:
+        """Return the usable lines of all tables as they are now."""
+        lines: UsableLines = {}
+        for backend in self._endpoints.usable():
+            for number, weight in backend.lines.items():
+                if weight:
+                    lines.setdefault(number, []).append(backend)
+        return lines
+
+    def with_tables(
+        self, now: int, proxy: Proxy, tables: Sequence[Table], lines: UsableLines, postponed: bool
+    ) -> tuple[str, ...]:
         """Return the backends to restore at a proxy with these tables.
 
         They are those that have been away, or, if the others are postponed, those that this controller saw return; and
@@ -54,27 +63,29 @@
         if not self.enabled:
             return ()
         numbers = [table.number for table in tables]
-        chosen = {b.id for b in self._with_line(numbers) if b.returned or (b.started_at and not postponed)}
-        chosen |= self._needed(now, proxy, numbers, chosen)
-        return tuple(backend.id for backend in self._with_line(numbers) if backend.id in chosen)
-
-    def _needed(self, now: int, proxy: Proxy, numbers: Iterable[int], restored: set[str]) -> set[str]:
+        chosen = {
+            backend.id: None
+            for number in numbers
+            for backend in lines.get(number, ())
+            if backend.returned or (backend.started_at and not postponed)
+        }
+        return *chosen, *self._needed(now, proxy, numbers, lines, chosen.keys())
+
+    def _needed(
+        self, now: int, proxy: Proxy, numbers: Iterable[int], lines: UsableLines, restored: Collection[str]
+    ) -> list[str]:
         """Return the backends to restore besides these, so that the proxy can use a line of each table."""
-        needed: set[str] = set()
+        needed: dict[str, None] = {}
         for number in numbers:
-            lines = self._with_line([number])
-            warm = [backend.id for backend in lines if self._is_warm(backend, now)]
+            backends = lines.get(number, ())
+            warm = [backend.id for backend in backends if self._is_warm(backend, now)]
             if not warm:
                 # A single warming backend would be overloaded by the requests for all of them.
-                needed |= {backend.id for backend in lines} - restored
-            elif restored.isdisjoint(warm) and needed.isdisjoint(warm):
+                needed |= {backend.id: None for backend in backends if backend.id not in restored}
+            elif not any(backend in restored or backend in needed for backend in warm):
                 # Proxies take different backends, so that none gets the requests of all.
-                needed.add(warm[proxy.id % len(warm)])
-        return needed
-
-    def _with_line(self, numbers: Iterable[int]) -> list[Backend]:
-        """Return the backends that have a line in tables of these numbers and aren't withdrawn."""
-        return [backend for backend in self._endpoints.usable() if any(backend.lines.get(n) for n in numbers)]
+                needed[warm[proxy.id % len(warm)]] = None
+        return list(needed)
 
     def leave_channel_idle(self, lines: float) -> bool:
         """Return whether the channel is nearly idle also with this many further lines."""
@@ -91,28 +102,20 @@
         sent as far as the channel is nearly idle.
         """
         self._next_round = now + INTERVAL_TICKS
-        usable = self._usable_by_table()
+        lines = self.usable_lines()
+        ids_by_table = {number: {backend.id for backend in backends} for number, backends in lines.items()}
         for proxy in self._proxies.with_tables():
-            unsure = [n for n in proxy.assigned_tables & usable.keys() if proxy.restored.isdisjoint(usable[n])]
-            needed = self._needed(now, proxy, unsure, set())
+            unsure = [n for n in proxy.assigned_tables & lines.keys() if proxy.restored.isdisjoint(ids_by_table[n])]
+            needed = self._needed(now, proxy, unsure, lines, ())
             if needed and self._reserve(proxy, needed):
-                yield ProxyWithdrawals((proxy.id,), (), tuple(sorted(needed)))
+                yield ProxyWithdrawals((proxy.id,), (), tuple(needed))
         if self.leave_channel_idle(0):
-            yield from self._restore_postponed()
-
-    def _usable_by_table(self) -> dict[int, list[str]]:
-        """Return the usable backends that have a line in each table."""
-        by_table: dict[int, list[str]] = {}
-        for backend in self._endpoints.usable():
-            for number, weight in backend.lines.items():
-                if weight:
-                    by_table.setdefault(number, []).append(backend.id)
-        return by_table
+            yield from self._restore_postponed(lines)
 
-    def _restore_postponed(self) -> Iterator[ProxyWithdrawals]:
+    def _restore_postponed(self, lines: UsableLines) -> Iterator[ProxyWithdrawals]:
         postponed = [proxy for proxy in self._proxies.with_tables() if proxy.restorations_postponed]
         for numbers, users in groupby(sorted(postponed, key=_table_numbers), key=_table_numbers):
-            restarted = [backend.id for backend in self._with_line(numbers) if backend.started_at]
+            restarted = {b.id: None for number in numbers for b in lines.get(number, ()) if b.started_at}
             served = tuple(self._send_postponed(users, restarted))
             if served and restarted:
                 yield ProxyWithdrawals(served, (), tuple(restarted))
--- a/onyxhead/policy/table_assignment.py
+++ b/onyxhead/policy/table_assignment.py
@@ -62,7 +62,8 @@
         # Due withdrawals go first; full tables would take the room that they need.
         if not waiting or self._withdrawals.due(now, self._withdrawals.batching_window):
             return
-        usable = self._endpoints.usable_tables()
+        usable_lines = self._restorations.usable_lines()
+        usable = set(usable_lines)
         assignments = self._assignments(waiting, usable)
         assignable = [proxy for proxy in waiting if _has_new_table(proxy, assignments[proxy.id])]
         yield from self._withdraw_from_unassignable(now, waiting, assignments)
@@ -80,7 +81,7 @@
                 continue
             # Each line of a table may need a restoration, which about doubles the cost of a join.
             postponed = not self._restorations.leave_channel_idle(2 * waiting_cost)
-            restored = self._restorations.with_tables(now, proxy, assignment.tables, postponed)
+            restored = self._restorations.with_tables(now, proxy, assignment.tables, usable_lines, postponed)
             if not self._fits(now, proxy, assignment.cost + len(restored), queue_fraction):
                 return
             proxy.restored, proxy.restorations_postponed = set(restored), postponed
--- a/onyxhead/policy/table_changes.py
+++ b/onyxhead/policy/table_changes.py
@@ -74,7 +74,9 @@
             if returning:
                 backend.withdrawn_at = 0
                 yield Withdrawal(backend.id, False)
-            elif restored_at:
+            for proxy in restored_at:
+                proxy.restored.add(backend.id)
+            if restored_at:
                 yield ProxyWithdrawals(tuple(proxy.id for proxy in restored_at), (), (backend.id,))
         for number, table_lines in lines_by_table.items():
             self.last_sent = now
