--- a/tests/test_policy_host.py
+++ b/tests/test_policy_host.py
@@ -102,6 +102,18 @@
     return [policy_harness.ready_endpoint(name, started_at) for name in names]
 
 
+def takeover_scenario(endpoints: list[Endpoint]) -> HostScenario:
+    """Let 40 proxies join at once, which withdraw all backends for another controller."""
+    scenario = HostScenario(proxies=40)
+    scenario.host.on_endpoint_update(scenario.now, WatchEvent.CACHED, endpoints)
+    scenario.decide()
+    for proxy in range(40):
+        scenario.proxies[proxy] = ProxyDouble()
+        scenario.proxies[proxy].withdrawn = {endpoint.backend for endpoint in endpoints}
+        scenario.join(proxy)
+    return scenario
+
+
 def test_a_joining_proxy_gets_the_whole_table_once_and_only_changed_lines_after_it() -> None:
     scenario = HostScenario()
     scenario.host.on_endpoint_update(scenario.now, WatchEvent.CACHED, ready_endpoints("s1", "s2", "s3"))
@@ -176,15 +188,8 @@
 
 def test_many_joining_proxies_get_one_usable_line_at_once_and_all_others_when_the_channel_is_idle() -> None:
     # Guards against joins that fill the channel with restorations, and against proxies that never get the remaining.
-    scenario = HostScenario(proxies=40)
     names = [f"s{number}" for number in range(20)]
-    restarted = ready_endpoints(*names, started_at=START_TIME - 500_000)
-    scenario.host.on_endpoint_update(scenario.now, WatchEvent.CACHED, restarted)
-    scenario.decide()
-    for proxy in range(40):
-        scenario.proxies[proxy] = ProxyDouble()
-        scenario.proxies[proxy].withdrawn = set(names)
-        scenario.join(proxy)
+    scenario = takeover_scenario(ready_endpoints(*names, started_at=START_TIME - 500_000))
     while not all(double.tables for double in scenario.proxies.values()):
         scenario.run(0.1)
         for double in scenario.proxies.values():
@@ -220,14 +225,8 @@
 def test_a_proxy_that_loses_the_line_that_it_can_use_gets_the_others_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
     # Guards against proxies without a line while the channel is never idle.
     monkeypatch.setattr("onyxhead.policy.restorations.IDLE_QUEUE_FRACTION", 0.0)
-    scenario = HostScenario(proxies=40)
     names = [f"s{number}" for number in range(20)]
-    scenario.host.on_endpoint_update(scenario.now, WatchEvent.CACHED, ready_endpoints(*names))
-    scenario.decide()
-    for proxy in range(40):
-        scenario.proxies[proxy] = ProxyDouble()
-        scenario.proxies[proxy].withdrawn = set(names)
-        scenario.join(proxy)
+    scenario = takeover_scenario(ready_endpoints(*names))
     scenario.run(3)
     assert all(len(double.withdrawn) == 19 for double in scenario.proxies.values())
     draining = [policy_harness.draining_endpoint(name) for name in names[:10]]
