Review case 8: proxies of a killed controller use drained backends past the grace in a deploy

Cause: the other controller neither repeats the withdrawals to the proxies that join it nor has room to assign their tables, as each further drain costs a message to all proxies. Change: case 8; the stand-ins learn controllers that die and come back. Nothing is mended.

--- a/review/rig_2/rig.py
+++ b/review/rig_2/rig.py
@@ -60,6 +60,7 @@
     def __init__(self, name: str, zone: str, kind: str, record: Record, work_s: float, started: float = 0.0) -> None:
         self.name, self.zone, self.kind, self.record, self.work_s = name, zone, kind, record, work_s
         self.up_since = started  # Unix time; 0 for long ago
+        self.fields: list[str] = []
         self.phase = "SERVING"
         self.port = 0
         self.busy = 0
@@ -87,7 +88,7 @@
             if self.phase != "SERVING":
                 status = "503 Service Unavailable"
             elif target == "/load":
-                body = b"inflight=%d" % self.busy
+                body = self.load_report().encode()
             elif target != "/healthz":
                 self.busy += 1
                 try:
@@ -104,6 +105,12 @@
             self.open.discard(writer)
             writer.close()
 
+    def load_report(self) -> str:
+        """Return the load report of the site (PROTOCOL.md, Probes): the values that `report.fields` names."""
+        values = {"busy_reqs": f"inflight={self.busy}", "pending": "queue=0",
+                  "svc_ms": f"latency_ms={self.work_s * 1000:g}"}
+        return ",".join(values[name] for name in self.fields)
+
     def entry(self) -> dict[str, Any]:
         return {
             "id": self.name, "host_port": f"127.0.0.1:{self.port}", "locality": self.zone, "flavor": self.kind,
@@ -193,7 +200,7 @@
         self.process: asyncio.subprocess.Process | None = None
         self.first_answer = 0.0
         self.channel = Channel(settings, record)
-        self.sockets = 256
+        self.sockets = 512
 
     async def start(self, known: dict[str, Any]) -> None:
         with (ROOT / "deploy" / "balancer.toml").open("rb") as file:
@@ -217,6 +224,7 @@
                 "/bin/sh", "-c", command, cwd=ROOT, env=os.environ | variables, stdout=log, stderr=log
             )
         self.channel.reset()
+        self.first_answer = 0.0
         await self._wait_until_ready()
 
     async def _wait_until_ready(self) -> None:
@@ -308,6 +316,18 @@
     def usable(self, name: str) -> dict[str, float]:
         return {b: weight for b, weight in self.tables[name].items() if weight > 0 and b not in self.shut}
 
+    async def live(self, controllers: list[Controller], redial_s: tuple[float, float]) -> None:
+        """Stay joined to one controller at a time, of its own zone if there is one; dial again when the stream breaks."""
+        while True:
+            running = [controller for controller in controllers if controller.alive() and controller.first_answer]
+            at_home = [controller for controller in running if self.rig.zone_of(controller) == self.zone]
+            if running:
+                try:
+                    await self.stay_joined(self.rig.chance.choice(at_home or running))
+                except OSError:
+                    pass
+            await asyncio.sleep(self.rig.chance.uniform(*redial_s))
+
     async def stay_joined(self, controller: Controller) -> None:
         """Join a controller and obey it; end when the stream ends."""
         reader, writer = await asyncio.open_connection("127.0.0.1", controller.port)
@@ -372,7 +392,7 @@
                         del self.tables[name][backend]
                 if "gate" in part:
                     self.levels[name] = float(part["gate"])
-            if "stamp" in part:
+            if "stamp" in part and not writer.is_closing():
                 took = (time.monotonic() - sent_at) * 1000
                 writer.write(encode(["done", "proxy", self.number, "mark", part["stamp"], "took_ms", f"{took:.1f}"]))
                 self.rig.record.line("applied", part["stamp"], "by", self.number)
@@ -462,6 +482,9 @@
         self.worst_drain = 0.0
         self.failure: BaseException | None = None
 
+    def zone_of(self, controller: Controller) -> str:
+        return str(self.settings["zones"][controller.settings["zone"]])
+
     def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         task = asyncio.get_running_loop().create_task(work)
         self.tasks.add(task)
@@ -477,6 +500,7 @@
         number = len(self.backends)
         kind = self.settings["hostTypes"][number % len(self.settings["hostTypes"])]
         backend = Backend(f"s-{self.chance.getrandbits(32):08x}", zone, kind, self.record, 0.15, started)
+        backend.fields = self.settings["report"]["fields"]
         await backend.start()
         self.backends[backend.name] = backend
         return backend
@@ -497,10 +521,13 @@
         """A zone's collector: each period, what the zone's proxies met at each backend and what came to each proxy."""
         period = self.settings["extra"]["cycleNs"] / 1e9
         allowed = max(1, int(self.settings["extra"]["intakePerS"] * period / len(self.settings["zones"])))
-        _, writer = await asyncio.open_connection("127.0.0.1", controller.port)
+        try:
+            _, writer = await asyncio.open_connection("127.0.0.1", controller.port)
+        except OSError:
+            return
         writer.write(encode(["telemetry", "zone", zone]))
         waiting: list[list[object]] = []
-        while True:
+        while controller.alive():
             await asyncio.sleep(period)
             sums: dict[str, tuple[int, int, float]] = {}
             for proxy in self.proxies:
@@ -519,8 +546,12 @@
                 mean = total * 1000 / (tries - failed) if tries > failed else 0.0
                 words = ["upstream_stats", "zone", zone, "server", backend, "tries", tries, "failed", failed]
                 words += ["mean_ms", f"{mean:.1f}", "span_ms", f"{period * 1000:.1f}"]
-                waiting.append([*words, "load", f"inflight:{self.backends[backend].busy}"])
+                if self.settings["report"]["via"] == "inline":
+                    words += ["load", self.backends[backend].load_report().replace("=", ":")]
+                waiting.append(words)
             batch, waiting = waiting[:allowed], waiting[allowed:]
+            if writer.is_closing() or not controller.alive():
+                return
             for message in batch:
                 writer.write(encode(message))
             try:
