--- a/review/9/case.py
+++ b/review/9/case.py
@@ -12,7 +12,7 @@
 from rig import Controller, Discovery, Rig, main, trouble  # noqa: E402
 from sites import pos_main_campus  # noqa: E402
 
-PROXIES, BACKENDS = 6, 40
+PROXIES, BACKENDS = 9, 40
 REPLACED = BACKENDS * 9 // 10
 WITHIN_S = 33.0
 QUIET_S = 13.0  # the start is over, and the messages of the joins are more than 10 s old
