--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""Case 7: a controller is killed during a rolling deploy; the other takes over its proxies."""
+"""Case 7: half of the streams of a controller break during a rolling deploy, and are there again within 0.4 s."""
 
 from __future__ import annotations
 
@@ -15,8 +15,8 @@
 PROXIES, BACKENDS = 150, 40
 REPLACED = BACKENDS * 9 // 10
 WITHIN_S = 27.0
-KILLED_AFTER_S = 8.0  # from the first replacement
-AWAY_S = 3.0  # the killed controller starts again after this time
+BROKEN_AFTER_S = 8.0  # from the first replacement
+BROKEN_SHARE = 0.5
 QUIET_S = 14.0
 DRAIN_S = 3.0  # a backend that drains ends after this time
 WATCHED_S = 8.0
@@ -39,15 +39,16 @@
         await controller.start(discovery.known())
         for zone in zones:
             rig.spawn(rig.report(controller, zone, discovery))
+    first = rig.controllers[0]  # it gets all the proxies
     rig.add_proxies(PROXIES, rate=2.0)
     for proxy in rig.proxies:
-        rig.spawn(proxy.live(rig.controllers, REDIAL_S))
+        rig.spawn(proxy.live([first], REDIAL_S))
         await asyncio.sleep(0.01)
     rig.start_traffic()
     await asyncio.sleep(QUIET_S)
     rig.record.say("joined:", {c.name: sum(p.controller is c for p in rig.proxies) for c in rig.controllers})
     if trouble():
-        rig.spawn(kill(rig, rig.controllers[1]))
+        rig.spawn(break_streams(rig))
     # The deploy takes place without the disruption as well.
     rig.record.say(f"{REPLACED} of {BACKENDS} backends are replaced within {WITHIN_S:g} s")
     for name in rig.chance.sample(list(rig.backends), REPLACED):
@@ -59,16 +60,14 @@
     rig.record.say(f"longest use of a backend after the controller was told: {rig.worst_drain:.2f} s")
 
 
-async def kill(rig: Rig, controller: Controller) -> None:
-    """The controller dies and comes back with its last list and nothing else."""
-    await asyncio.sleep(KILLED_AFTER_S)
-    known = controller.discovery.known()
-    await controller.stop()
-    rig.record.say(f"{controller.name} is killed")
-    await asyncio.sleep(AWAY_S)
-    await controller.start(known)
-    for zone in rig.settings["zones"]:
-        rig.spawn(rig.report(controller, zone, controller.discovery))
+async def break_streams(rig: Rig) -> None:
+    """Half of the streams are reset at once; their proxies keep what they hold and dial again."""
+    await asyncio.sleep(BROKEN_AFTER_S)
+    hit = rig.chance.sample(rig.proxies, int(len(rig.proxies) * BROKEN_SHARE))
+    for proxy in hit:
+        if proxy.writer is not None:
+            proxy.writer.transport.abort()
+    rig.record.say(f"{len(hit)} streams break")
 
 
 async def replace(rig: Rig, discoveries: list[Discovery], name: str) -> None:
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""Case 9: a rolling deploy, zone by zone, where a proxy may get 20 messages in 10 s and one class keeps to its zone."""
+"""Case 9: six in ten backends are replaced within 7 s, one after the other, where a proxy may get 20 messages in 10 s."""
 
 from __future__ import annotations
 
@@ -13,11 +13,11 @@
 from sites import pos_main_campus  # noqa: E402
 
 PROXIES, BACKENDS = 9, 40
-REPLACED = BACKENDS * 9 // 10
-WITHIN_S = 33.0
+REPLACED = BACKENDS * 6 // 10
+WITHIN_S = 7.0
 QUIET_S = 13.0  # the start is over, and the messages of the joins are more than 10 s old
 DRAIN_S = 3.0  # a backend that drains ends after this time
-WATCHED_S = 16.0
+WATCHED_S = 14.0
 
 
 async def case(rig: Rig) -> None:
@@ -39,14 +39,14 @@
     await asyncio.sleep(QUIET_S)
     if trouble():
         rig.record.say(f"{REPLACED} of {BACKENDS} backends are replaced within {WITHIN_S:g} s")
-        for name in sorted(rig.backends, key=lambda name: zones.index(rig.backends[name].zone))[:REPLACED]:
+        for name in rig.chance.sample(list(rig.backends), REPLACED):
             rig.spawn(replace(rig, discovery, name))
             await asyncio.sleep(WITHIN_S / REPLACED)
     await asyncio.sleep(WATCHED_S)
     for proxy in rig.proxies:
         most = max(sum(start <= t < start + 10 for t in proxy.messages) for start in proxy.messages)
         rig.record.line("proxy", proxy.number, "got", len(proxy.messages), "messages, at most", most, "in 10 s")
-    rig.record.say(f"longest time without a line while a warm backend was listed: {rig.worst_unserved:.2f} s")
+    rig.record.say(f"longest use of a backend after the controller was told: {rig.worst_drain:.2f} s")
 
 
 async def replace(rig: Rig, discovery: Discovery, name: str) -> None:
@@ -62,4 +62,4 @@
 
 
 if __name__ == "__main__":
-    main(Rig(Path(__file__).resolve().parent, pos_main_campus(PROXIES), 1), case)
+    main(Rig(Path(__file__).resolve().parent, pos_main_campus(PROXIES), 3), case)
