--- a/review/rig_2/rig.py
+++ b/review/rig_2/rig.py
@@ -808,12 +808,17 @@
     """Play a case and return its exit code."""
 
     async def run() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            # A script that is ended from outside ends its controllers as well.
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             async with asyncio.timeout(limit_s):
                 await case(rig)
             if rig.failure is not None:
                 raise CannotRunError(f"a stand-in failed: {rig.failure!r}")
-        except (CannotRunError, TimeoutError, OSError) as error:
+        except (CannotRunError, TimeoutError, OSError, asyncio.CancelledError) as error:
             rig.record.say("the case could not run:", repr(error))
             return COULD_NOT_RUN
         finally:
