--- a/onyxhead/policy/balancer.py
+++ b/onyxhead/policy/balancer.py
@@ -20,6 +20,7 @@
 from onyxhead.policy.health_checks import due_health_checks, record_health_check
 from onyxhead.policy.inputs import Deployment, Endpoint, HealthCheckResult, LoadReport, WatchEvent
 from onyxhead.policy.line_weights import LineWeights, find_unreachable_zones
+from onyxhead.policy.missed_withdrawals import MissedWithdrawals
 from onyxhead.policy.outlier_detection import OutlierDetector
 from onyxhead.policy.proxies import ProxyRegistry
 from onyxhead.policy.request_rates import RequestRates
@@ -95,7 +96,8 @@
         self.warmup_limiter = WarmupLimiter(deployment, self.slow_start, self.weights)
         self.admission = AdmissionController(deployment, utility, self.channel, feedback_delay, now)
         state = PolicyState(self.channel, self.endpoints, self.proxies, self.subsets)
-        self.withdrawals = WithdrawalScheduler(state, safety.drain_grace)
+        self.missed_withdrawals = MissedWithdrawals(state, deployment)
+        self.withdrawals = WithdrawalScheduler(state, deployment)
         self.restorations = RestorationScheduler(state, self.slow_start, deployment)
         self.table_assigner = TableAssigner(state, self.slow_start, self.withdrawals, self.restorations, deployment)
         self.table_updater = TableUpdater(state, self.slow_start, self.weights, deployment, now)
@@ -161,9 +163,12 @@
         """
         subset = self.subsets.least_busy_subset(self.proxies.by_id.values())
         self.proxies.join(now, proxy, zone, baseline_rate, has_standing_table, subset)
+        self.missed_withdrawals.on_joined(self.proxies.by_id[proxy])
 
     def on_proxy_left(self, now: int, proxy: int) -> None:
         """Remove a proxy whose stream ended, and the messages queued for it."""
+        if (left := self.proxies.by_id.get(proxy)) is not None:
+            self.missed_withdrawals.on_left(left)
         self.proxies.leave(proxy)
         self.channel.forget_proxy(proxy)
 
@@ -173,6 +178,8 @@
         `elapsed` is the time from sending the message to its acknowledgement; no decision depends on it.
         """
         self.channel.acknowledge(now, proxy, round_number)
+        if (joined := self.proxies.by_id.get(proxy)) is not None:
+            joined.acknowledge(round_number)
 
     # State for callers
 
@@ -227,6 +234,7 @@
             self._last_change_round = now
             yield from self._decide_changes(now, ready)
         yield from self.table_assigner.assign(now)
+        yield from self.missed_withdrawals.send(now, self.proxies.waiting_for_tables())
         if self.restorations.remaining_due(now) and not self._withdrawals_wait(now):
             yield from self.restorations.restore_remaining(now)
         if self.channel.reserved:
--- a/onyxhead/policy/channel_budget.py
+++ b/onyxhead/policy/channel_budget.py
@@ -116,7 +116,9 @@
         expires_at = now + self._lost_after
         for proxy, lines in self.reserved.items():
             self.unacknowledged.append(SentMessage(self.round_number, proxy, lines, expires_at))
-            proxies.by_id[proxy].message_times.append(now)
+            receiver = proxies.by_id[proxy]
+            receiver.message_times.append(now)
+            receiver.awaited_rounds.append((self.round_number, now))
 
     def acknowledge(self, now: int, proxy: int, round_number: int) -> None:
         """Release an acknowledged message and those sent in earlier rounds; ignore an unknown acknowledgement."""
--- /dev/null
+++ b/onyxhead/policy/missed_withdrawals.py
@@ -0,0 +1,84 @@
+"""Records which withdrawals single proxies have missed, and sends them.
+
+A withdrawal goes to all proxies that may use its backend when the backend departs. A proxy misses it if it is not
+joined then, as it may come back with lines from before its stream broke, or come with lines of another controller.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+from onyxhead.policy.channel_budget import WITHDRAWAL_QUEUE_FRACTION
+from onyxhead.policy.decisions import ProxyWithdrawals
+from onyxhead.policy.inputs import Deployment
+from onyxhead.policy.proxies import Proxy
+from onyxhead.policy.state import PolicyState
+
+#: A proxy that joins may have missed withdrawals while it was away, for up to this many drain graces.
+MAX_ABSENCE_GRACES = 4
+#: A proxy waits for its table for at least the drain grace divided by this number before it gets what it has missed.
+TABLE_WAIT_DIVISOR = 3
+#: The number of proxies that left for which to remember what they have applied.
+MAX_REMEMBERED_PROXIES = 8192
+
+
+class MissedWithdrawals:
+    """The withdrawals that proxies have missed. Used only where a withdrawal can be sent to single proxies."""
+
+    def __init__(self, state: PolicyState, deployment: Deployment) -> None:
+        self.enabled = deployment.proxies_keep_withdrawals
+        self._channel = state.channel
+        self._endpoints = state.endpoints
+        self._drain_grace = deployment.safety.drain_grace
+        self._table_wait = self._drain_grace // TABLE_WAIT_DIVISOR
+        #: For proxies that left, the time until which they have applied all withdrawals, the latest last.
+        self._applied_until: dict[int, int] = {}
+
+    def on_joined(self, proxy: Proxy) -> None:
+        """Record the withdrawals that a proxy may have missed before it joined."""
+        if not self.enabled:
+            return
+        applied_until = self._applied_until.get(proxy.id, 0)
+        missed_from = proxy.joined_at - MAX_ABSENCE_GRACES * self._drain_grace
+        # Another controller may have restored a backend at the proxy if it was told late of the departure.
+        certain_before = proxy.joined_at - self._drain_grace
+        for backend in self._endpoints.by_id.values():
+            departed_at = backend.departed_at or 0
+            if not backend.departed or not backend.withdrawn_at or departed_at <= missed_from:
+                continue
+            if backend.withdrawn_at > applied_until or departed_at > certain_before:
+                proxy.missed_withdrawals[backend.id] = proxy.joined_at
+
+    def on_left(self, proxy: Proxy) -> None:
+        """Remember what a proxy that leaves has applied, in case it joins again."""
+        self._applied_until.pop(proxy.id, None)
+        if not self.enabled or proxy.missed_withdrawals or not 0 < proxy.caught_up_at <= proxy.applied_until:
+            return
+        self._applied_until[proxy.id] = proxy.applied_until
+        if len(self._applied_until) > MAX_REMEMBERED_PROXIES:
+            del self._applied_until[next(iter(self._applied_until))]
+
+    def send(self, now: int, proxies: Iterable[Proxy]) -> Iterator[ProxyWithdrawals]:
+        """Yield what these proxies have missed and reserve room for it, as far as it is due and fits."""
+        for proxy in proxies:
+            if not proxy.missed_withdrawals or not self._is_due(proxy, now):
+                continue
+            missed = tuple(backend for backend in proxy.missed_withdrawals if self._is_away(backend))
+            if not self._channel.allows_message(WITHDRAWAL_QUEUE_FRACTION, proxy):
+                continue
+            if self._channel.available(WITHDRAWAL_QUEUE_FRACTION, [proxy]) < len(missed):
+                return
+            proxy.catch_up(now)
+            if missed:
+                self._channel.reserve(len(missed), [proxy])
+                yield ProxyWithdrawals((proxy.id,), missed, ())
+
+    def _is_due(self, proxy: Proxy, now: int) -> bool:
+        # Withdrawals in a message that is sent anyway cost no overhead.
+        if proxy.id in self._channel.reserved:
+            return True
+        return now - min(proxy.missed_withdrawals.values()) >= self._table_wait
+
+    def _is_away(self, backend: str) -> bool:
+        known = self._endpoints.by_id.get(backend)
+        return known is None or not known.ready
--- a/onyxhead/policy/proxies.py
+++ b/onyxhead/policy/proxies.py
@@ -7,6 +7,9 @@
 
 from onyxhead.time_units import TICKS_PER_SECOND
 
+#: The number of rounds to remember for each proxy until it acknowledges them.
+MAX_AWAITED_ROUNDS = 256
+
 
 @dataclass(slots=True, eq=False)
 class Proxy:
@@ -29,6 +32,14 @@
     lacks_a_table: bool = False
     #: Set once the proxy has been sent the withdrawals that hold when it joined.
     has_withdrawals: bool = False
+    #: The backends whose withdrawal the proxy has missed, with the time from which the drain grace counts.
+    missed_withdrawals: dict[str, int] = field(default_factory=dict)
+    #: When the proxy was last sent its tables or all withdrawals that it had missed, 0 before the first time.
+    caught_up_at: int = 0
+    #: The numbers and times of the rounds that the proxy has been sent and not acknowledged.
+    awaited_rounds: deque[tuple[int, int]] = field(default_factory=lambda: deque(maxlen=MAX_AWAITED_ROUNDS))
+    #: The proxy has applied all that it was sent until this time.
+    applied_until: int = 0
     #: The times of the messages written to the proxy within the current message window.
     message_times: deque[int] = field(default_factory=deque)
     #: The numbers of the tables last assigned to the proxy; after a repartition, still those of the old partition.
@@ -43,6 +54,19 @@
         """Return whether the proxy may still use old lines for some group, as it lacks a table for it."""
         return not self.has_tables or self.lacks_a_table
 
+    def catch_up(self, now: int) -> None:
+        """Note that the proxy is sent all withdrawals that it has missed, or tables in which they hold."""
+        self.missed_withdrawals.clear()
+        self.caught_up_at = now
+
+    def acknowledge(self, round_number: int) -> None:
+        """Note that the proxy has applied a round, and all earlier ones; ignore a round that it was not sent."""
+        if all(number != round_number for number, _ in self.awaited_rounds):
+            return
+        number = None
+        while number != round_number:
+            number, self.applied_until = self.awaited_rounds.popleft()
+
 
 class ProxyRegistry:
     """All joined proxies, in the order in which they first joined."""
--- a/onyxhead/policy/table_assignment.py
+++ b/onyxhead/policy/table_assignment.py
@@ -85,14 +85,15 @@
             if not self._fits(now, proxy, assignment.cost + len(restored), queue_fraction):
                 return
             proxy.restored, proxy.restorations_postponed = set(restored), postponed
-            yield from self._carry_out(proxy, assignment, restored)
+            yield from self._carry_out(now, proxy, assignment, restored)
 
     def _carry_out(
-        self, proxy: Proxy, assignment: Assignment, restored: tuple[str, ...]
+        self, now: int, proxy: Proxy, assignment: Assignment, restored: tuple[str, ...]
     ) -> Iterator[TableAssignment | ProxyWithdrawals]:
         proxy.has_tables = proxy.has_withdrawals = True
         proxy.assigned_tables = {table.number for table in assignment.tables}
         proxy.lacks_a_table = assignment.incomplete
+        proxy.catch_up(now)
         self._channel.reserve(assignment.cost + len(restored), [proxy])
         for table in assignment.tables:
             every_group = len(table.groups) == self._group_count
@@ -116,6 +117,7 @@
             if not self._fits(now, proxy, len(withdrawn), URGENT_TABLE_QUEUE_FRACTION):
                 return
             proxy.has_withdrawals = True
+            proxy.catch_up(now)
             self._channel.reserve(len(withdrawn), [proxy])
             yield ProxyWithdrawals((proxy.id,), withdrawn, ())
 
--- a/onyxhead/policy/withdrawals.py
+++ b/onyxhead/policy/withdrawals.py
@@ -7,13 +7,13 @@
 from onyxhead.policy.channel_budget import WITHDRAWAL_QUEUE_FRACTION
 from onyxhead.policy.decisions import Withdrawal
 from onyxhead.policy.endpoints import Backend
+from onyxhead.policy.inputs import Deployment
+from onyxhead.policy.missed_withdrawals import MAX_ABSENCE_GRACES
 from onyxhead.policy.proxies import Proxy
 from onyxhead.policy.state import PolicyState
 
 #: While the channel is busy, the batching window of withdrawals is the drain grace divided by this number.
 BATCHING_WINDOW_DIVISOR = 6
-#: A proxy that joins may have missed withdrawals while it was away, for up to this many drain graces.
-MAX_ABSENCE_GRACES = 4
 #: A withdrawal is repeated at most this many times per drain grace.
 REPEATS_PER_GRACE = 3
 
@@ -24,22 +24,24 @@
     def __init__(
         self,
         state: PolicyState,
-        drain_grace: int,
+        deployment: Deployment,
     ) -> None:
+        self._drain_grace = deployment.safety.drain_grace
         #: On a busy channel, withdrawals wait at least this many ticks for others.
-        self.batching_window = drain_grace // BATCHING_WINDOW_DIVISOR
+        self.batching_window = self._drain_grace // BATCHING_WINDOW_DIVISOR
         #: Set if the current round asks all proxies for an acknowledgement of its withdrawals.
         self.notifies_all = False
         self._channel, self._endpoints, self._proxies, self._subsets = state
-        self._drain_grace = drain_grace
+        self._repeats_to_all = not deployment.proxies_keep_withdrawals
 
     def due(self, now: int, min_wait: int) -> list[Backend]:
         """Return the departed backends to withdraw, for the first time or again for proxies without assigned tables.
 
-        Sending full tables to many joining proxies takes longer than the drain grace. Withdrawals are therefore
-        repeated while proxies have waited for their tables for more than `min_wait` ticks.
+        Sending full tables to many joining proxies takes longer than the drain grace. Where a withdrawal can't be sent
+        to single proxies (see `missed_withdrawals`), withdrawals are therefore repeated to all while proxies have
+        waited for their tables for more than `min_wait` ticks.
         """
-        waiting = self._proxies_to_notify_again(now, min_wait)
+        waiting = self._proxies_to_notify_again(now, min_wait) if self._repeats_to_all else []
         last_join = max((proxy.joined_at for proxy in waiting), default=0)
         first_join = min((proxy.joined_at for proxy in waiting), default=now)
         missed_from = first_join - MAX_ABSENCE_GRACES * self._drain_grace
