Send tables beside withdrawals, in the time that these leave until their grace ends

What callers saw: proxies that joined in a deploy got no table until it ended (over 20 s), were sent every withdrawal of the fleet, and with 83% of the streams broken got them later than the grace. Cause: two decisions waited for each other. No table was sent while a withdrawal was due or the channel busy for a quarter of the grace, and one withdrawal for all proxies makes it busy for longer; without tables each withdrawal went to all. Change: where withdrawals can go to single proxies, tables that a rule needs use part of the time that due withdrawals can spare, the urgent ones first; withdrawals gather longer while many proxies wait. Evidence: the two new tests fail on (tables lacking at the end of the deploy; 4.33 s of 4.2 s) and pass now, in simulated time.

--- a/onyxhead/policy/balancer.py
+++ b/onyxhead/policy/balancer.py
@@ -99,7 +99,9 @@
         self.missed_withdrawals = MissedWithdrawals(state, deployment)
         self.withdrawals = WithdrawalScheduler(state, deployment)
         self.restorations = RestorationScheduler(state, self.slow_start, deployment)
-        self.table_assigner = TableAssigner(state, self.slow_start, self.withdrawals, self.restorations, deployment)
+        self.table_assigner = TableAssigner(
+            state, self.slow_start, self.withdrawals, self.restorations, self.missed_withdrawals, deployment
+        )
         self.table_updater = TableUpdater(state, self.slow_start, self.weights, deployment, now)
 
     # Events
@@ -260,7 +262,7 @@
         yield from self.table_updater.send_changes(now, self.rates)
 
     def _withdrawals_wait(self, now: int) -> bool:
-        return bool(self.withdrawals.due(now, self.withdrawals.batching_window))
+        return bool(self.withdrawals.due(now, self.withdrawals.batching.window))
 
     def _evaluate_attempts(self, now: int, ready: Sequence[Backend]) -> None:
         """Update admission and outlier detection from the attempts of a period, if one has ended."""
--- a/onyxhead/policy/table_assignment.py
+++ b/onyxhead/policy/table_assignment.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence
+from enum import IntEnum
 from typing import NamedTuple
 
 from onyxhead.policy.channel_budget import TABLE_QUEUE_FRACTION, URGENT_TABLE_QUEUE_FRACTION
 from onyxhead.policy.decisions import ProxyWithdrawals, TableAssignment
+from onyxhead.policy.endpoints import Backend
 from onyxhead.policy.inputs import Deployment
+from onyxhead.policy.missed_withdrawals import MissedWithdrawals
 from onyxhead.policy.proxies import Proxy
 from onyxhead.policy.restorations import RestorationScheduler
 from onyxhead.policy.slow_start import SlowStart
@@ -17,6 +20,8 @@
 
 #: Full tables may keep the channel busy for the drain grace divided by this number.
 BUSY_TIME_DIVISOR = 4
+#: Full tables required by a safety rule may use up this fraction of the time that withdrawals leave.
+SPARE_TIME_FRACTION = 0.75
 
 
 class Assignment(NamedTuple):
@@ -31,6 +36,14 @@
     cost: int
 
 
+class Urgency(IntEnum):
+    """The reason for a table: a rule may be broken by the proxy's old tables, or because the proxy may have no line."""
+
+    USUAL = 0
+    OLD_TABLES_UNSAFE = 1
+    MAY_HAVE_NO_LINE = 2
+
+
 class TableAssigner:
     """Decides which of the proxies without assigned tables get them now.
 
@@ -44,13 +57,16 @@
         slow_start: SlowStart,
         withdrawals: WithdrawalScheduler,
         restorations: RestorationScheduler,
+        missed: MissedWithdrawals,
         deployment: Deployment,
     ) -> None:
         self._channel, self._endpoints, self._proxies, self._subsets = state
         self._slow_start = slow_start
         self._withdrawals = withdrawals
         self._restorations = restorations
+        self._missed = missed
         self._drain_grace = deployment.safety.drain_grace
+        self._usual_busy_limit = self._drain_grace / BUSY_TIME_DIVISOR
         self._group_count = len(deployment.groups)
 
     def assign(self, now: int) -> Iterator[TableAssignment | ProxyWithdrawals]:
@@ -59,30 +75,31 @@
         Withdrawals that a proxy may keep from earlier streams are ended with its tables.
         """
         waiting = self._proxies.lacking_tables()
-        # Due withdrawals go first; full tables would take the room that they need.
-        if not waiting or self._withdrawals.due(now, self._withdrawals.batching_window):
+        if not waiting:
+            return
+        due = self._withdrawals.due(now, self._withdrawals.batching.window)
+        # Where withdrawals are repeated to all proxies, those that are due go first; tables would take their room.
+        if due and not self._missed.enabled:
             return
+        busy_limits = self._busy_limits(now, due)
         usable_lines = self._restorations.usable_lines()
         usable = set(usable_lines)
         assignments = self._assignments(waiting, usable)
         assignable = [proxy for proxy in waiting if _has_new_table(proxy, assignments[proxy.id])]
         yield from self._withdraw_from_unassignable(now, waiting, assignments)
-        repeats_pending = bool(self._withdrawals.due(now, -1))
-        old_tables_unsafe = self._old_tables_may_be_unsafe(now)
-        for proxy in sorted(assignable, key=lambda candidate: _assignment_order(candidate, usable)):
+        repeats_pending = not self._missed.enabled and bool(self._withdrawals.due(now, -1))
+        for proxy, urgency in self._in_order(now, assignable, usable):
             assignment = assignments[proxy.id]
             waiting_cost = len(assignable) * assignment.cost
             if repeats_pending and waiting_cost > self._channel.lines_within(self._drain_grace) / 2:
                 return  # withdrawals must be repeated first; full tables for the waiting proxies would delay them
-            waited_long = now - proxy.joined_at > self._withdrawals.batching_window
-            urgent = (old_tables_unsafe and waited_long) or _may_have_no_line(proxy, usable)
-            queue_fraction = URGENT_TABLE_QUEUE_FRACTION if urgent else TABLE_QUEUE_FRACTION
+            queue_fraction = URGENT_TABLE_QUEUE_FRACTION if urgency > Urgency.USUAL else TABLE_QUEUE_FRACTION
             if not self._channel.allows_message(queue_fraction, proxy):
                 continue
             # Each line of a table may need a restoration, which about doubles the cost of a join.
             postponed = not self._restorations.leave_channel_idle(2 * waiting_cost)
             restored = self._restorations.with_tables(now, proxy, assignment.tables, usable_lines, postponed)
-            if not self._fits(now, proxy, assignment.cost + len(restored), queue_fraction):
+            if not self._fits(now, proxy, assignment.cost + len(restored), queue_fraction, busy_limits[urgency]):
                 return
             proxy.restored, proxy.restorations_postponed = set(restored), postponed
             yield from self._carry_out(now, proxy, assignment, restored)
@@ -114,7 +131,7 @@
                 continue
             if not self._channel.allows_message(URGENT_TABLE_QUEUE_FRACTION, proxy):
                 continue
-            if not self._fits(now, proxy, len(withdrawn), URGENT_TABLE_QUEUE_FRACTION):
+            if not self._fits(now, proxy, len(withdrawn), URGENT_TABLE_QUEUE_FRACTION, self._usual_busy_limit):
                 return
             proxy.has_withdrawals = True
             proxy.catch_up(now)
@@ -162,17 +179,53 @@
             cost += 1 + len(table.groups)
             for backend in self._endpoints.by_id.values():
                 if table.accepts(backend):
-                    cost += (backend.lines[table.number] > 0) + (backend.withdrawn_at > 0)
+                    has_line = backend.lines[table.number] > 0
+                    # Where a proxy keeps withdrawals, it is sent those of the table's lines only.
+                    cost += has_line + (backend.withdrawn_at > 0 and (has_line or not self._missed.enabled))
         return cost
 
-    def _fits(self, now: int, proxy: Proxy, cost: int, queue_fraction: float) -> bool:
+    def _busy_limits(self, now: int, due: Sequence[Backend]) -> dict[Urgency, float]:
+        """Return for how long tables may keep the channel busy while these withdrawals are due.
+
+        The withdrawals, or one that becomes due next, must still arrive within the drain grace. They leave room for the
+        tables of proxies that may have no line in any case, as these withdrawals may be the reason for that.
+        """
+        usual = self._usual_busy_limit
+        if not self._missed.enabled:
+            return dict.fromkeys(Urgency, usual)
+        spare = SPARE_TIME_FRACTION * self._withdrawals.batching.spare_time(now, due)
+        return {
+            Urgency.USUAL: 0.0 if due else usual,
+            Urgency.OLD_TABLES_UNSAFE: spare if due else max(usual, spare),
+            Urgency.MAY_HAVE_NO_LINE: max(usual, spare),
+        }
+
+    def _in_order(self, now: int, proxies: Iterable[Proxy], usable: set[int]) -> list[tuple[Proxy, Urgency]]:
+        """Return proxies that wait for tables in the order in which they get them.
+
+        Where tables go out beside withdrawals, each proxy must come before those that leave less room to them, since
+        the first one that doesn't fit ends the round.
+        """
+        old_tables_unsafe = self._old_tables_may_be_unsafe(now)
+
+        def urgency(proxy: Proxy) -> Urgency:
+            if _may_have_no_line(proxy, usable):
+                return Urgency.MAY_HAVE_NO_LINE
+            waited_long = now - proxy.joined_at > self._withdrawals.batching.window
+            return Urgency.OLD_TABLES_UNSAFE if old_tables_unsafe and waited_long else Urgency.USUAL
+
+        def order(candidate: tuple[Proxy, Urgency]) -> tuple[int, tuple[bool, bool, float, int]]:
+            return -candidate[1] if self._missed.enabled else 0, _assignment_order(candidate[0], usable)
+
+        return sorted(((proxy, urgency(proxy)) for proxy in proxies), key=order)
+
+    def _fits(self, now: int, proxy: Proxy, cost: int, queue_fraction: float, busy_limit: float) -> bool:
         channel = self._channel
         if channel.available(queue_fraction, [proxy]) < cost:
             return False
-        # A withdrawal that becomes due next must still arrive within the drain grace, so the channel may be busy for a
-        # part of the grace only. The second estimate is the lower one if acknowledgements arrive sooner than expected.
+        # The second estimate is the lower one if acknowledgements arrive sooner than expected.
         busy_for = min(channel.drained_at(now) - now, channel.transfer_time(channel.queued()))
-        return busy_for <= self._drain_grace / BUSY_TIME_DIVISOR
+        return busy_for <= busy_limit
 
 
 def _has_new_table(proxy: Proxy, assignment: Assignment) -> bool:
--- a/onyxhead/policy/withdrawals.py
+++ b/onyxhead/policy/withdrawals.py
@@ -11,9 +11,8 @@
 from onyxhead.policy.missed_withdrawals import MAX_ABSENCE_GRACES
 from onyxhead.policy.proxies import Proxy
 from onyxhead.policy.state import PolicyState
+from onyxhead.policy.withdrawal_batching import WithdrawalBatching
 
-#: While the channel is busy, the batching window of withdrawals is the drain grace divided by this number.
-BATCHING_WINDOW_DIVISOR = 6
 #: A withdrawal is repeated at most this many times per drain grace.
 REPEATS_PER_GRACE = 3
 
@@ -27,8 +26,7 @@
         deployment: Deployment,
     ) -> None:
         self._drain_grace = deployment.safety.drain_grace
-        #: On a busy channel, withdrawals wait at least this many ticks for others.
-        self.batching_window = self._drain_grace // BATCHING_WINDOW_DIVISOR
+        self.batching = WithdrawalBatching(state, deployment)
         #: Set if the current round asks all proxies for an acknowledgement of its withdrawals.
         self.notifies_all = False
         self._channel, self._endpoints, self._proxies, self._subsets = state
@@ -78,12 +76,12 @@
     def withdraw(self, now: int) -> Iterator[Withdrawal]:
         """Yield the due withdrawals and reserve room for them, as many as fit into the channel."""
         self.notifies_all = False
-        all_proxies, due = self._proxies.all(), self.due(now, self.batching_window)
+        all_proxies, due = self._proxies.all(), self.due(now, self.batching.window)
         if not due:
             return
         lines_left = self._channel.available(WITHDRAWAL_QUEUE_FRACTION, all_proxies) * len(all_proxies)
         holders = self._find_holders(due, all_proxies)
-        if self._should_wait_for_batch(now, due, lines_left, sum(map(len, holders.values())), len(all_proxies)):
+        if self.batching.should_wait(now, due, lines_left, sum(map(len, holders.values())), all_proxies):
             return
         for backend in sorted(due, key=lambda candidate: _urgency(candidate, now)):
             lines_left -= len(holders[backend.id])
@@ -99,26 +97,6 @@
             self._channel.reserve(1, holders[backend.id])
             yield Withdrawal(backend.id, True)
 
-    def _should_wait_for_batch(
-        self, now: int, due: Sequence[Backend], lines_left: float, cost: int, proxy_count: int
-    ) -> bool:
-        """Return whether to wait for more withdrawals before sending those that are due.
-
-        The overhead of a message outweighs the line of a withdrawal, so withdrawals sent one by one would fill a busy
-        channel.
-        """
-        channel = self._channel
-        overhead = channel.message_cost * proxy_count
-        if channel.queued() <= overhead:
-            return False
-        more_may_follow = now - min(backend.departed_at or now for backend in due) < self.batching_window
-        # A channel slower than configured is still busy after `drained_at`, which recent acknowledgements and little
-        # room show. Sent one by one, withdrawals would then consist almost entirely of overhead.
-        acknowledged_recently = now < channel.last_acknowledged + 2 * channel.max_delay
-        slower_than_configured = acknowledged_recently and lines_left < overhead
-        still_busy = slower_than_configured or channel.drained_at(now) > now
-        return more_may_follow or (lines_left < cost and still_busy)
-
     def _find_holders(self, due: Sequence[Backend], proxies: Sequence[Proxy]) -> dict[str, list[Proxy]]:
         """Return by backend the proxies that may have a line for it.
 
--- a/tests/test_rules_in_deploys.py
+++ b/tests/test_rules_in_deploys.py
@@ -48,3 +48,19 @@
     fleet.after(DISRUPTED_AFTER, lambda: fleet.kill(1, seconds=3.0))
     fleet.run(DEPLOY_S)
     assert fleet.longest_drain_s <= DRAIN_GRACE_S
+
+
+def test_proxies_that_join_in_a_deploy_get_their_tables_before_it_ends() -> None:
+    # Guards against tables and withdrawals that hold each other up while the channel is busy.
+    fleet = fleet_in_deploy(controllers=2)
+    fleet.after(DISRUPTED_AFTER, lambda: fleet.kill(1, seconds=3.0))
+    fleet.run(DEPLOY_S)
+    assert fleet.lacking_tables() == 0
+
+
+def test_most_proxies_that_join_again_at_once_get_withdrawals_in_time() -> None:
+    fleet = fleet_in_deploy()
+    fleet.after(DISRUPTED_AFTER, lambda: fleet.break_streams(0.83))
+    fleet.run(DEPLOY_S)
+    assert fleet.longest_drain_s <= DRAIN_GRACE_S
+    assert fleet.controllers[0].most_queued_lines <= fleet.controllers[0].limits.max_queued_lines
