--- a/onyxhead/node/decision_round.py
+++ b/onyxhead/node/decision_round.py
@@ -77,8 +77,8 @@
     def apply(self, decision: Decision, recipients: Iterable[int]) -> None:
         """Apply one decision; `recipients` are the proxies for which the policy has counted a message in this round."""
         match decision:
-            case Withdrawal(backend, True):
-                self._withdraw(backend)
+            case Withdrawal(backend, True, excluded):
+                self._withdraw(backend, excluded)
             case Withdrawal(backend, _):
                 self._restore(backend)
             case ProxyWithdrawals(proxies, withdrawn, restored):
@@ -126,9 +126,12 @@
             pending = self.updates[proxy] = PendingUpdate()
         return pending
 
-    def _withdraw(self, backend: str) -> None:
+    def _withdraw(self, backend: str, excluded: tuple[int, ...]) -> None:
         self.state.withdrawn[backend] = None
+        excluded_proxies = set(excluded)
         for proxy, joined in self.state.joined.items():
+            if proxy in excluded_proxies:
+                continue
             # Where a proxy has no table from this controller, it may still use that of another one, which may have a
             # line for the backend.
             has_line = self.state.may_use(joined, backend)
--- a/onyxhead/policy/admission.py
+++ b/onyxhead/policy/admission.py
@@ -171,6 +171,8 @@
                 sent_level = table.admission_levels.get(group, 1.0)
                 if not _must_send(target_level, sent_level):
                     continue
+                if not self._channel.allows_messages(CHANGE_QUEUE_FRACTION, users):
+                    break  # the users of other tables may have got fewer messages
                 if self._channel.available(CHANGE_QUEUE_FRACTION, users) < 1:
                     return
                 table.admission_levels[group] = target_level
--- a/onyxhead/policy/balancer.py
+++ b/onyxhead/policy/balancer.py
@@ -32,6 +32,7 @@
 from onyxhead.policy.table_changes import TableUpdater
 from onyxhead.policy.utility import UtilityModel
 from onyxhead.policy.warmup_limits import WarmupLimiter
+from onyxhead.policy.withdrawal_batching import WithdrawalBatching
 from onyxhead.policy.withdrawals import WithdrawalScheduler
 from onyxhead.time_units import TICKS_PER_SECOND
 
@@ -96,8 +97,9 @@
         self.warmup_limiter = WarmupLimiter(deployment, self.slow_start, self.weights)
         self.admission = AdmissionController(deployment, utility, self.channel, feedback_delay, now)
         state = PolicyState(self.channel, self.endpoints, self.proxies, self.subsets)
-        self.missed_withdrawals = MissedWithdrawals(state, deployment)
-        self.withdrawals = WithdrawalScheduler(state, deployment)
+        batching = WithdrawalBatching(state, deployment)
+        self.missed_withdrawals = MissedWithdrawals(state, deployment, batching)
+        self.withdrawals = WithdrawalScheduler(state, deployment, batching, self.missed_withdrawals)
         self.restorations = RestorationScheduler(state, self.slow_start, deployment)
         self.table_assigner = TableAssigner(
             state, self.slow_start, self.withdrawals, self.restorations, self.missed_withdrawals, deployment
@@ -229,6 +231,7 @@
             self._subscribe_at = None
             yield SubscribeToEndpoints()
         yield from self.withdrawals.withdraw(now)
+        yield from self.missed_withdrawals.send(now, self.proxies.with_tables())
         ready = self.endpoints.ready()
         if self._health_checks_allowed:
             yield from due_health_checks(now, ready)
--- a/onyxhead/policy/channel_budget.py
+++ b/onyxhead/policy/channel_budget.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 from onyxhead.policy.inputs import ChannelLimits
@@ -54,6 +54,8 @@
         self.unacknowledged: list[SentMessage] = []
         self._max_messages = limits.max_messages
         self._message_window = limits.message_window
+        #: The interval at which half of the messages that a proxy may be sent last for the whole message window.
+        self.message_spacing = 2 * limits.message_window // limits.max_messages if limits.max_messages else 0
         self._drained_at = float(now)
         longest_drain = MAX_SLOWDOWN * limits.max_queued_lines * TICKS_PER_SECOND / limits.lines_per_second
         self._lost_after = 2 * limits.max_delay + round(longest_drain)
@@ -69,11 +71,9 @@
     def available(self, fraction: float, receivers: Sequence[Proxy]) -> float:
         """Return the lines that each receiver may get without using more than `fraction` of the queue limit.
 
-        The result is negative if there is no room, or if a receiver has reached its limit of messages.
+        The result is negative if there is no room. The limit of messages is not considered.
         """
         new_receivers = [proxy for proxy in receivers if proxy.id not in self.reserved]
-        if self._max_messages and not all(self.allows_message(fraction, proxy) for proxy in new_receivers):
-            return -1.0
         lines_left = fraction * self.max_queued_lines - self.queued() - self.message_cost * len(new_receivers)
         return lines_left / max(1, len(receivers))
 
@@ -86,6 +86,21 @@
         max_messages = self._max_messages if urgent else self._max_messages * fraction
         return len(proxy.message_times) + 1 <= max_messages
 
+    def allows_messages(self, fraction: float, receivers: Iterable[Proxy]) -> bool:
+        """Return whether each of these proxies may be sent another message (see `allows_message`)."""
+        return not self._max_messages or all(self.allows_message(fraction, proxy) for proxy in receivers)
+
+    def message_limit_is_near(self, proxy: Proxy) -> bool:
+        """Return whether a proxy has been sent half of the messages that it may be sent in the message window."""
+        if not self._max_messages or proxy.id in self.reserved:
+            return False
+        return 2 * len(proxy.message_times) >= self._max_messages
+
+    @property
+    def limits_messages(self) -> bool:
+        """Return whether the number of messages to a proxy is limited."""
+        return self._max_messages > 0
+
     def reserve(self, lines: float, receivers: Sequence[Proxy]) -> None:
         """Reserve lines for each receiver, and the cost of a message if it gets its first one in this round."""
         reserved = self.reserved
--- a/onyxhead/policy/decisions.py
+++ b/onyxhead/policy/decisions.py
@@ -9,10 +9,15 @@
 
 
 class Withdrawal(NamedTuple):
-    """Makes all joined proxies stop using a backend, even if their tables list it, or ends such a withdrawal."""
+    """Makes all joined proxies stop using a backend, even if their tables list it, or ends such a withdrawal.
+
+    The `excluded` proxies get the withdrawal later. There are none unless proxies keep withdrawals when their stream
+    ends (`Deployment.proxies_keep_withdrawals`).
+    """
 
     backend: str
     withdrawn: bool
+    excluded: tuple[int, ...] = ()
 
 
 class ProxyWithdrawals(NamedTuple):
--- a/onyxhead/policy/missed_withdrawals.py
+++ b/onyxhead/policy/missed_withdrawals.py
@@ -1,7 +1,9 @@
 """Records which withdrawals single proxies have missed, and sends them.
 
 A withdrawal goes to all proxies that may use its backend when the backend departs. A proxy misses it if it is not
-joined then, as it may come back with lines from before its stream broke, or come with lines of another controller.
+joined then, as it may come back with lines from before its stream broke, or come with lines of another controller. A
+proxy that has been sent many messages is left out as well, so that one message carries several withdrawals and its
+limit of messages is not reached.
 """
 
 from __future__ import annotations
@@ -10,9 +12,11 @@
 
 from onyxhead.policy.channel_budget import WITHDRAWAL_QUEUE_FRACTION
 from onyxhead.policy.decisions import ProxyWithdrawals
+from onyxhead.policy.endpoints import Backend
 from onyxhead.policy.inputs import Deployment
 from onyxhead.policy.proxies import Proxy
 from onyxhead.policy.state import PolicyState
+from onyxhead.policy.withdrawal_batching import WithdrawalBatching
 
 #: A proxy that joins may have missed withdrawals while it was away, for up to this many drain graces.
 MAX_ABSENCE_GRACES = 4
@@ -25,12 +29,13 @@
 class MissedWithdrawals:
     """The withdrawals that proxies have missed. Used only where a withdrawal can be sent to single proxies."""
 
-    def __init__(self, state: PolicyState, deployment: Deployment) -> None:
+    def __init__(self, state: PolicyState, deployment: Deployment, batching: WithdrawalBatching) -> None:
         self.enabled = deployment.proxies_keep_withdrawals
         self._channel = state.channel
         self._endpoints = state.endpoints
         self._drain_grace = deployment.safety.drain_grace
         self._table_wait = self._drain_grace // TABLE_WAIT_DIVISOR
+        self._message_wait = batching.message_wait
         #: For proxies that left, the time until which they have applied all withdrawals, the latest last.
         self._applied_until: dict[int, int] = {}
 
@@ -58,6 +63,15 @@
         if len(self._applied_until) > MAX_REMEMBERED_PROXIES:
             del self._applied_until[next(iter(self._applied_until))]
 
+    def must_gather(self, proxy: Proxy) -> bool:
+        """Return whether a withdrawal is recorded for the proxy first, because it has been sent many messages."""
+        return self.enabled and self._channel.message_limit_is_near(proxy)
+
+    def add(self, backend: Backend, proxies: Iterable[Proxy], now: int) -> None:
+        """Record that these proxies have missed the withdrawal of a backend."""
+        for proxy in proxies:
+            proxy.missed_withdrawals[backend.id] = backend.departed_at or now
+
     def send(self, now: int, proxies: Iterable[Proxy]) -> Iterator[ProxyWithdrawals]:
         """Yield what these proxies have missed and reserve room for it, as far as it is due and fits."""
         for proxy in proxies:
@@ -77,7 +91,10 @@
         # Withdrawals in a message that is sent anyway cost no overhead.
         if proxy.id in self._channel.reserved:
             return True
-        return now - min(proxy.missed_withdrawals.values()) >= self._table_wait
+        wait = 0 if proxy.has_tables else self._table_wait
+        if self._channel.message_limit_is_near(proxy):
+            wait = max(wait, self._message_wait)
+        return now - min(proxy.missed_withdrawals.values()) >= wait
 
     def _is_away(self, backend: str) -> bool:
         known = self._endpoints.by_id.get(backend)
--- a/onyxhead/policy/restorations.py
+++ b/onyxhead/policy/restorations.py
@@ -131,6 +131,8 @@
 
     def _reserve(self, proxy: Proxy, backends: Collection[str]) -> bool:
         """Reserve room for restoring these backends at a proxy; return whether there is room."""
+        if not self._channel.allows_message(TABLE_QUEUE_FRACTION, proxy):
+            return False
         if self._channel.available(TABLE_QUEUE_FRACTION, [proxy]) < len(backends):
             return False
         self._channel.reserve(len(backends), [proxy])
--- a/onyxhead/policy/table_changes.py
+++ b/onyxhead/policy/table_changes.py
@@ -52,6 +52,8 @@
         if self._must_wait(now):
             return
         receivers = self._proxies.with_tables()
+        if not self._channel.allows_messages(CHANGE_QUEUE_FRACTION, receivers):
+            return
         users = {table.number: table.users(self._proxies.by_id.values()) for table in self._subsets.tables}
         lines_left = self._channel.available(CHANGE_QUEUE_FRACTION, receivers) * len(receivers)
         # Returning backends are held back while proxies wait for their tables, unless a table has no other usable
--- a/onyxhead/policy/withdrawal_batching.py
+++ b/onyxhead/policy/withdrawal_batching.py
@@ -13,6 +13,8 @@
 WINDOW_DIVISOR = 6
 #: While many proxies wait for their tables, the window is at most the drain grace divided by this number.
 MAX_WINDOW_DIVISOR = 3
+#: Withdrawals for proxies near their limit of messages wait for at most the drain grace divided by this number.
+MAX_MESSAGE_WAIT_DIVISOR = 2
 #: The fraction of the channel that withdrawals may use while many proxies wait for their tables.
 CHANNEL_FRACTION_BESIDE_TABLES = 0.5
 
@@ -25,6 +27,8 @@
         self._drain_grace = deployment.safety.drain_grace
         #: On a busy channel, withdrawals wait at least this many ticks for others.
         self.window = self._drain_grace // WINDOW_DIVISOR
+        #: Withdrawals for proxies near their limit of messages wait this many ticks for others.
+        self.message_wait = min(self._channel.message_spacing, self._drain_grace // MAX_MESSAGE_WAIT_DIVISOR)
         #: Set if tables go out beside withdrawals; elsewhere they wait until no withdrawal is due.
         self._beside_tables = deployment.proxies_keep_withdrawals
 
@@ -39,6 +43,8 @@
         channel = self._channel
         overhead = channel.message_cost * len(receivers)
         waited = now - _oldest_departure(due, now)
+        if waited < self.message_wait and any(map(channel.message_limit_is_near, receivers)):
+            return True
         if channel.queued() <= overhead:
             return False
         more_may_follow = waited < self._current_window(now, due, overhead + cost)
--- a/onyxhead/policy/withdrawals.py
+++ b/onyxhead/policy/withdrawals.py
@@ -8,7 +8,7 @@
 from onyxhead.policy.decisions import Withdrawal
 from onyxhead.policy.endpoints import Backend
 from onyxhead.policy.inputs import Deployment
-from onyxhead.policy.missed_withdrawals import MAX_ABSENCE_GRACES
+from onyxhead.policy.missed_withdrawals import MAX_ABSENCE_GRACES, MissedWithdrawals
 from onyxhead.policy.proxies import Proxy
 from onyxhead.policy.state import PolicyState
 from onyxhead.policy.withdrawal_batching import WithdrawalBatching
@@ -24,13 +24,15 @@
         self,
         state: PolicyState,
         deployment: Deployment,
+        batching: WithdrawalBatching,
+        missed: MissedWithdrawals,
     ) -> None:
-        self._drain_grace = deployment.safety.drain_grace
-        self.batching = WithdrawalBatching(state, deployment)
+        self.batching = batching
         #: Set if the current round asks all proxies for an acknowledgement of its withdrawals.
         self.notifies_all = False
         self._channel, self._endpoints, self._proxies, self._subsets = state
-        self._repeats_to_all = not deployment.proxies_keep_withdrawals
+        self._drain_grace = deployment.safety.drain_grace
+        self._missed = missed
 
     def due(self, now: int, min_wait: int) -> list[Backend]:
         """Return the departed backends to withdraw, for the first time or again for proxies without assigned tables.
@@ -39,7 +41,7 @@
         to single proxies (see `missed_withdrawals`), withdrawals are therefore repeated to all while proxies have
         waited for their tables for more than `min_wait` ticks.
         """
-        waiting = self._proxies_to_notify_again(now, min_wait) if self._repeats_to_all else []
+        waiting = [] if self._missed.enabled else self._proxies_to_notify_again(now, min_wait)
         last_join = max((proxy.joined_at for proxy in waiting), default=0)
         first_join = min((proxy.joined_at for proxy in waiting), default=now)
         missed_from = first_join - MAX_ABSENCE_GRACES * self._drain_grace
@@ -79,9 +81,15 @@
         all_proxies, due = self._proxies.all(), self.due(now, self.batching.window)
         if not due:
             return
-        lines_left = self._channel.available(WITHDRAWAL_QUEUE_FRACTION, all_proxies) * len(all_proxies)
-        holders = self._find_holders(due, all_proxies)
-        if self.batching.should_wait(now, due, lines_left, sum(map(len, holders.values())), all_proxies):
+        gathering_proxies = [proxy for proxy in all_proxies if self._missed.must_gather(proxy)]
+        gathering = self._find_holders(due, gathering_proxies)
+        receivers = [proxy for proxy in all_proxies if not self._missed.must_gather(proxy)]
+        if not self._channel.allows_messages(WITHDRAWAL_QUEUE_FRACTION, receivers):
+            return
+        holders = self._find_holders(due, receivers)
+        lines_left = self._channel.available(WITHDRAWAL_QUEUE_FRACTION, receivers) * len(receivers)
+        cost = sum(map(len, holders.values()))
+        if self.batching.should_wait(now, due, lines_left, cost, receivers):
             return
         for backend in sorted(due, key=lambda candidate: _urgency(candidate, now)):
             lines_left -= len(holders[backend.id])
@@ -92,10 +100,11 @@
             # reservation for that proxy would never be acknowledged. If most proxies lack tables, the round therefore
             # asks all proxies for an acknowledgement. If few do, later acknowledgements of the other proxies release
             # the reservations, and asking all proxies would fill the channel.
-            self.notifies_all = 2 * sum(not proxy.has_tables for proxy in all_proxies) > len(all_proxies)
-            self._channel.reserve(0, all_proxies if self.notifies_all else holders[backend.id])
+            self.notifies_all = 2 * sum(not proxy.has_tables for proxy in receivers) > len(all_proxies)
+            self._channel.reserve(0, receivers if self.notifies_all else holders[backend.id])
             self._channel.reserve(1, holders[backend.id])
-            yield Withdrawal(backend.id, True)
+            self._missed.add(backend, gathering[backend.id], now)
+            yield Withdrawal(backend.id, True, tuple(proxy.id for proxy in gathering[backend.id]))
 
     def _find_holders(self, due: Sequence[Backend], proxies: Sequence[Proxy]) -> dict[str, list[Proxy]]:
         """Return by backend the proxies that may have a line for it.
--- a/onyxhead/tables/table_state.py
+++ b/onyxhead/tables/table_state.py
@@ -122,7 +122,7 @@
         return updates.finish(0, self.views, self._snapshot)
 
     def _apply_withdrawal(self, decision: Withdrawal, updates: RoundUpdates) -> None:
-        backend, withdrawn = decision
+        backend, withdrawn = decision.backend, decision.withdrawn
         if withdrawn:
             self.withdrawn[backend] = None
             updates.urgent_proxies.update(self.views)
--- a/tests/test_policy_withdrawals.py
+++ b/tests/test_policy_withdrawals.py
@@ -5,7 +5,15 @@
 import pytest
 
 from onyxhead.policy.decisions import AcknowledgementRequest, TableChange, Withdrawal
-from tests.policy_harness import departed_endpoint, draining_endpoint, fleet, ready_endpoint
+from onyxhead.time_units import TICKS_PER_SECOND
+from tests.policy_harness import (
+    DRAIN_GRACE,
+    departed_endpoint,
+    deployment,
+    draining_endpoint,
+    fleet,
+    ready_endpoint,
+)
 
 
 def test_draining_backend_is_withdrawn_at_once_and_its_line_removed_in_the_next_round() -> None:
@@ -71,6 +79,18 @@
     )
 
 
+def test_withdrawals_near_the_limit_of_messages_are_batched_on_an_idle_channel() -> None:
+    # Guards against withdrawals that stop for all proxies once one of them has been sent as many messages as allowed.
+    channel = deployment().channel._replace(max_messages=10, message_window=10 * TICKS_PER_SECOND)
+    harness = fleet(20, 1, channel=channel)
+    harness.run(12)
+    for index in range(14):
+        harness.update_endpoints(draining_endpoint(f"b{index}"))
+        harness.run(0.3)
+    harness.run(DRAIN_GRACE / TICKS_PER_SECOND)
+    assert not any(f"b{n}" in harness.proxies[1].lines() for n in range(14))
+
+
 def test_withdrawals_end_if_all_backends_return_while_a_proxy_waits_for_its_table() -> None:
     # A proxy gets a table only if the table has a usable line, but the returning backends were held back until the
     # proxy had its table. So it never got any backend, although warm ones were ready.
--- a/tests/test_rules_in_deploys.py
+++ b/tests/test_rules_in_deploys.py
@@ -4,6 +4,8 @@
 
 from typing import Any
 
+import pytest
+
 from onyxhead.time_units import TICKS_PER_SECOND
 from tests.node_testbed import SETTINGS
 from tests.simulated_fleet import SimulatedFleet
@@ -12,6 +14,8 @@
 START_S, DEPLOY_S, REPLACED_FRACTION = 14.0, 27.0, 0.9
 DISRUPTED_AFTER = 8 * TICKS_PER_SECOND
 DRAIN_GRACE_S = 4.2
+SHORT_DRAIN_GRACE_S = 3.0
+MAX_MESSAGES = 20
 
 
 def settings(**extra: Any) -> dict[str, Any]:
@@ -64,3 +68,45 @@
     fleet.run(DEPLOY_S)
     assert fleet.longest_drain_s <= DRAIN_GRACE_S
     assert fleet.controllers[0].most_queued_lines <= fleet.controllers[0].limits.max_queued_lines
+
+
+def fleet_with_message_limit() -> SimulatedFleet:
+    """Return a few proxies that may be sent a limited number of messages, and use backends of their zone for a group."""
+    limited = settings(
+        agents=9,
+        egressPerS=1400.0,
+        mostWaiting=1400.0,
+        perMessage=3.0,
+        updateCap=MAX_MESSAGES,
+        unservedMaxNs=5_300_000_000,
+        classOwnZone=[False, True],
+        throttleBy="ratio",
+    )
+    limited["guarantees"] = limited["guarantees"] | {"drainGraceNs": 3_000_000_000}
+    fleet = SimulatedFleet(limited, 9, BACKENDS)
+    fleet.join_all(START_S)
+    return fleet
+
+
+@pytest.mark.parametrize("deploy_s", [3.0, 7.0, 12.0])
+def test_withdrawals_stay_in_time_when_one_by_one_they_would_use_up_the_limit_of_messages(deploy_s: float) -> None:
+    # Guards against withdrawals that stop for all proxies once these have been sent as many as allowed (review case 9).
+    fleet = fleet_with_message_limit()
+    fleet.deploy(0.6, deploy_s)
+    fleet.run(deploy_s + SHORT_DRAIN_GRACE_S + 1)
+    assert fleet.longest_drain_s <= SHORT_DRAIN_GRACE_S
+    assert fleet.most_messages <= MAX_MESSAGES
+
+
+def test_a_proxy_at_its_limit_of_messages_delays_no_withdrawal_at_other_proxies() -> None:
+    # Guards against one receiver without room that holds up all.
+    fleet = fleet_with_message_limit()
+    policy = fleet.controllers[0].host.policy
+    policy.proxies.by_id[0].message_times.extend([fleet.now] * MAX_MESSAGES)
+    fleet.deploy(1 / BACKENDS, 1.0)
+    fleet.run(0.5)
+    (departed,) = (name for name, endpoint in fleet.endpoints.items() if not endpoint.ready)
+    assert [number for number, proxy in fleet.proxies.items() if departed not in proxy.withdrawn] == [0]
+    assert list(policy.proxies.by_id[0].missed_withdrawals) == [departed]
+    fleet.run(10)
+    assert departed in fleet.proxies[0].withdrawn
