--- a/onyxhead/policy/proxies.py
+++ b/onyxhead/policy/proxies.py
@@ -43,7 +43,7 @@
     #: The times of the messages written to the proxy within the current message window.
     message_times: deque[int] = field(default_factory=deque)
     #: The numbers of the tables last assigned to the proxy; after a repartition, still those of the old partition.
-    assigned_tables: set[int] = field(default_factory=set)
+    assigned_tables: frozenset[int] = frozenset()
     #: The backends that were restored at the proxy with its tables or since.
     restored: set[str] = field(default_factory=set)
     #: Set if backends that have been away were not restored with its tables.
@@ -51,9 +51,17 @@
 
     @property
     def lacks_tables(self) -> bool:
-        """Return whether the proxy may still use old lines for some group, as it lacks a table for it."""
+        """Return whether the proxy waits for some of its tables."""
         return not self.has_tables or self.lacks_a_table
 
+    @property
+    def has_unknown_lines(self) -> bool:
+        """Return whether the proxy may use lines that this controller has not sent it on its stream.
+
+        A proxy that waits for its tables after a repartition still uses those of the old partition, which are known.
+        """
+        return self.lacks_a_table or not self.assigned_tables
+
     def catch_up(self, now: int) -> None:
         """Note that the proxy is sent all withdrawals that it has missed, or tables in which they hold."""
         self.missed_withdrawals.clear()
--- a/onyxhead/policy/table_assignment.py
+++ b/onyxhead/policy/table_assignment.py
@@ -108,7 +108,7 @@
         self, now: int, proxy: Proxy, assignment: Assignment, restored: tuple[str, ...]
     ) -> Iterator[TableAssignment | ProxyWithdrawals]:
         proxy.has_tables = proxy.has_withdrawals = True
-        proxy.assigned_tables = {table.number for table in assignment.tables}
+        proxy.assigned_tables = frozenset(table.number for table in assignment.tables)
         proxy.lacks_a_table = assignment.incomplete
         proxy.catch_up(now)
         self._channel.reserve(assignment.cost + len(restored), [proxy])
@@ -145,7 +145,7 @@
         for proxy in proxies:
             # A table that the proxy got from this controller holds no old lines that an empty table would replace.
             assignable = usable | proxy.assigned_tables if proxy.has_tables else usable
-            key = proxy.subset, proxy.zone, frozenset(proxy.assigned_tables if proxy.has_tables else ())
+            key = proxy.subset, proxy.zone, proxy.assigned_tables if proxy.has_tables else frozenset()
             if key not in shared:
                 tables = self._subsets.tables_for(proxy)
                 missing = [table for table in tables if table.number not in assignable]
--- a/onyxhead/policy/withdrawals.py
+++ b/onyxhead/policy/withdrawals.py
@@ -15,6 +15,7 @@
 
 #: A withdrawal is repeated at most this many times per drain grace.
 REPEATS_PER_GRACE = 3
+NO_TABLES: frozenset[int] = frozenset()
 
 
 class WithdrawalScheduler:
@@ -96,32 +97,40 @@
             if lines_left < 0:
                 return
             backend.withdrawn_at = max(1, now)
-            # The caller sends no message to a proxy without assigned tables that has no line to withdraw, so the
-            # reservation for that proxy would never be acknowledged. If most proxies lack tables, the round therefore
-            # asks all proxies for an acknowledgement. If few do, later acknowledgements of the other proxies release
-            # the reservations, and asking all proxies would fill the channel.
-            self.notifies_all = 2 * sum(not proxy.has_tables for proxy in receivers) > len(all_proxies)
+            self.notifies_all = self._must_notify_all(all_proxies)
             self._channel.reserve(0, receivers if self.notifies_all else holders[backend.id])
             self._channel.reserve(1, holders[backend.id])
             self._missed.add(backend, gathering[backend.id], now)
             yield Withdrawal(backend.id, True, tuple(proxy.id for proxy in gathering[backend.id]))
 
+    def _must_notify_all(self, proxies: Sequence[Proxy]) -> bool:
+        """Return whether the round must ask all proxies for an acknowledgement of its withdrawals.
+
+        A caller whose proxies don't keep withdrawals sends no message to a proxy with unknown lines that has no line to
+        withdraw, so the reservation for that proxy would never be acknowledged. If few proxies have unknown lines,
+        later acknowledgements of the others release the reservations, and asking all would fill the channel.
+        """
+        return not self._missed.enabled and 2 * sum(proxy.has_unknown_lines for proxy in proxies) > len(proxies)
+
     def _find_holders(self, due: Sequence[Backend], proxies: Sequence[Proxy]) -> dict[str, list[Proxy]]:
         """Return by backend the proxies that may have a line for it.
 
-        These are the users of its tables, and all proxies that lack a table and may use old lines in place of it.
+        These are the proxies that hold a table with such a line, also one from before a repartition, and all that may
+        use lines which this controller has not sent.
         """
-        tables_by_backend = {
-            backend.id: tuple(table for table in self._subsets.tables_of(backend) if backend.lines[table.number])
+        # This runs in each round while withdrawals wait, so proxies with the same tables share one search.
+        by_tables: dict[frozenset[int], list[Proxy]] = {}
+        for proxy in proxies:
+            by_tables.setdefault(NO_TABLES if proxy.has_unknown_lines else proxy.assigned_tables, []).append(proxy)
+        return {
+            backend.id: [
+                proxy
+                for tables, users in by_tables.items()
+                if not tables or any(backend.lines.get(number) for number in tables)
+                for proxy in users
+            ]
             for backend in due
         }
-        # This runs in each round while withdrawals wait, so backends in the same tables share one search.
-        holders = {}
-        for tables in set(tables_by_backend.values()):
-            holders[tables] = [
-                proxy for proxy in proxies if proxy.lacks_tables or any(table.serves(proxy) for table in tables)
-            ]
-        return {backend: holders[tables] for backend, tables in tables_by_backend.items()}
 
 
 def _urgency(backend: Backend, now: int) -> tuple[bool, int]:
--- a/tests/test_policy_withdrawals.py
+++ b/tests/test_policy_withdrawals.py
@@ -132,3 +132,18 @@
     harness.update_endpoints(ready_endpoint("b0"))
     assert len(harness.policy.endpoints.by_id) == 4
     assert len(harness.policy.endpoints._forgotten) == 3
+
+
+def test_after_a_repartition_a_withdrawal_concerns_only_proxies_that_hold_a_line_for_the_backend() -> None:
+    # Guards against messages to all proxies that wait for new tables, which delay these tables (review case 6).
+    harness = fleet(6, *range(6))
+    harness.repartition(6, connection_limited=True)
+    harness.run(3)
+    holders = {number for number, proxy in harness.proxies.items() if "b0" in proxy.lines(max(proxy.tables))}
+    harness.repartition(1, connection_limited=False)
+    harness.update_endpoints(draining_endpoint("b0"))
+    policy = harness.policy
+    policy.channel.begin_round(harness.now, policy.proxies)
+    assert [decision.backend for decision in policy.withdrawals.withdraw(harness.now)] == ["b0"]
+    assert set(policy.round_recipients) == holders
+    assert len(holders) == 1 and not policy.withdrawals.notifies_all
--- a/tests/test_rules_in_deploys.py
+++ b/tests/test_rules_in_deploys.py
@@ -13,7 +13,7 @@
 PROXIES, BACKENDS = 150, 40
 START_S, DEPLOY_S, REPLACED_FRACTION = 14.0, 27.0, 0.9
 DISRUPTED_AFTER = 8 * TICKS_PER_SECOND
-DRAIN_GRACE_S = 4.2
+DRAIN_GRACE_S, UNSERVED_LIMIT_S = 4.2, 6.0
 SHORT_DRAIN_GRACE_S = 3.0
 MAX_MESSAGES = 20
 
@@ -110,3 +110,16 @@
     assert list(policy.proxies.by_id[0].missed_withdrawals) == [departed]
     fleet.run(10)
     assert departed in fleet.proxies[0].withdrawn
+
+
+def test_a_deploy_after_subsets_for_few_connections_leaves_no_proxy_without_a_line() -> None:
+    # Guards against withdrawals to proxies that hold no line for the backend, which delay all tables (review case 6).
+    fleet = SimulatedFleet(settings(), PROXIES, BACKENDS)
+    fleet.join_all(START_S)
+    fleet.failing_fraction = 0.5
+    fleet.run(12)
+    assert fleet.controllers[0].host.statistics()["cells"] == BACKENDS
+    fleet.deploy(REPLACED_FRACTION, DEPLOY_S)
+    fleet.run(DEPLOY_S)
+    assert fleet.longest_unserved_s <= UNSERVED_LIMIT_S
+    assert fleet.longest_drain_s <= DRAIN_GRACE_S
