--- a/onyxhead/policy/balancer.py
+++ b/onyxhead/policy/balancer.py
@@ -250,8 +250,11 @@
             yield WakeUp(WAKE_UP_INTERVAL_TICKS)
 
     def _change_round_is_due(self, now: int) -> bool:
-        after_change = self.table_updater.last_sent + CHANGE_INTERVAL_TICKS
-        return now >= max(after_change, self._last_change_round + WAKE_UP_INTERVAL_TICKS)
+        if now < self.table_updater.last_sent + CHANGE_INTERVAL_TICKS:
+            return False
+        # Where the number of messages is limited, changes share those of withdrawals.
+        shares_messages = self.channel.limits_messages and bool(self.channel.reserved)
+        return shares_messages or now >= self._last_change_round + WAKE_UP_INTERVAL_TICKS
 
     def _decide_changes(self, now: int, ready: Sequence[Backend]) -> Iterator[Decision]:
         self._evaluate_attempts(now, ready)
@@ -259,10 +262,10 @@
         self.weights.unreachable_zones = find_unreachable_zones(ready)
         self._update_estimates(now, ready)
         # Withdrawals that wait for room in the channel go before changes of levels and weights.
-        if self._withdrawals_wait(now):
-            return
-        yield from self.admission.send_levels(self.subsets.tables, self.proxies)
-        yield from self.table_updater.send_changes(now, self.rates)
+        withdrawals_wait = self._withdrawals_wait(now)
+        if not withdrawals_wait:
+            yield from self.admission.send_levels(self.subsets.tables, self.proxies)
+        yield from self.table_updater.send_changes(now, self.rates, withdrawals_wait)
 
     def _withdrawals_wait(self, now: int) -> bool:
         return bool(self.withdrawals.due(now, self.withdrawals.batching.window))
--- a/onyxhead/policy/table_changes.py
+++ b/onyxhead/policy/table_changes.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator, Mapping, Sequence, Set
 from typing import NamedTuple
 
-from onyxhead.policy.channel_budget import CHANGE_QUEUE_FRACTION
+from onyxhead.policy.channel_budget import (
+    CHANGE_QUEUE_FRACTION,
+    URGENT_TABLE_QUEUE_FRACTION,
+    WITHDRAWAL_QUEUE_FRACTION,
+    ChannelBudget,
+)
 from onyxhead.policy.decisions import ProxyWithdrawals, TableChange, Withdrawal
 from onyxhead.policy.endpoints import Backend
 from onyxhead.policy.inputs import Deployment
@@ -30,6 +35,43 @@
     lines: dict[int, float]
 
 
+class ChangeRoom:
+    """The room in the channel, and in the message limits of proxies, for the changes of a round.
+
+    A change goes to all users of its tables or to none of them, since they share the table.
+    """
+
+    def __init__(
+        self, channel: ChannelBudget, users: Mapping[int, Sequence[Proxy]], usable: Set[int], only_urgent: bool
+    ) -> None:
+        #: The tables in use that have no usable line, so that changes that give them one are urgent.
+        self.unusable = {number for number, of_table in users.items() if of_table and number not in usable}
+        self._channel = channel
+        self._users = users
+        self._closed = set(users) if only_urgent else self._tables_at_message_limit()
+        receivers = {proxy.id: proxy for n, of_table in users.items() if n not in self._closed for proxy in of_table}
+        self._lines_left = channel.available(CHANGE_QUEUE_FRACTION, list(receivers.values())) * len(receivers)
+
+    def _tables_at_message_limit(self) -> set[int]:
+        allows = self._channel.allows_messages
+        return {number for number, of_table in self._users.items() if not allows(CHANGE_QUEUE_FRACTION, of_table)}
+
+    def take(self, tables: Iterable[int], lines_per_user: int) -> bool:
+        """Return whether a change of these tables fits; if it does, the caller reserves the room."""
+        users = [proxy for number in tables for proxy in self._users[number]]
+        if not self.unusable.isdisjoint(tables):
+            return self._has_urgent_room(users, lines_per_user)
+        if not self._closed.isdisjoint(tables) or self._lines_left < 0:
+            return False
+        self._lines_left -= len(users) * lines_per_user
+        return self._lines_left >= 0
+
+    def _has_urgent_room(self, users: Sequence[Proxy], lines_per_user: int) -> bool:
+        if not self._channel.allows_messages(WITHDRAWAL_QUEUE_FRACTION, users):
+            return False
+        return self._channel.available(URGENT_TABLE_QUEUE_FRACTION, users) >= lines_per_user
+
+
 class TableUpdater:
     """Decides which changed lines to send in a round."""
 
@@ -47,26 +89,28 @@
         self._weights = weights
         self._proxies_keep_withdrawals = deployment.proxies_keep_withdrawals
 
-    def send_changes(self, now: int, rates: RequestRates) -> Iterator[Withdrawal | ProxyWithdrawals | TableChange]:
-        """Yield as many changes as fit and reserve room for them; for a returning backend, also end its withdrawal."""
-        if self._must_wait(now):
-            return
-        receivers = self._proxies.with_tables()
-        if not self._channel.allows_messages(CHANGE_QUEUE_FRACTION, receivers):
-            return
+    def send_changes(
+        self, now: int, rates: RequestRates, withdrawals_wait: bool
+    ) -> Iterator[Withdrawal | ProxyWithdrawals | TableChange]:
+        """Yield as many changes as fit and reserve room for them; for a returning backend, also end its withdrawal.
+
+        While withdrawals wait for room, only changes are sent that give a table its first usable line.
+        """
         users = {table.number: table.users(self._proxies.by_id.values()) for table in self._subsets.tables}
-        lines_left = self._channel.available(CHANGE_QUEUE_FRACTION, receivers) * len(receivers)
+        only_urgent = withdrawals_wait or self._must_wait(now)
+        room = ChangeRoom(self._channel, users, self._endpoints.usable_tables(), only_urgent)
+        if only_urgent and not room.unusable:
+            return
         # Returning backends are held back while proxies wait for their tables, unless a table has no other usable
         # backend. A proxy gets no table without a usable line, so both would wait for each other forever.
-        hold_returning = self._all_tables_usable() and len(receivers) < len(self._proxies)
+        hold_returning = self._all_tables_usable() and bool(self._proxies.waiting_for_tables())
         lines_by_table: dict[int, list[tuple[str, float]]] = {}
-        for _, backend, lines in self._due_changes(now, rates, hold_returning):
+        for _, backend, lines in self._due_changes(now, rates, hold_returning, room.unusable):
             returning = backend.returning
             restored_at = [] if returning else self._proxies_to_restore_at(backend, lines, users)
             lines_per_user = 2 if returning or restored_at else 1  # the line, and the end of the withdrawal
-            lines_left -= sum(len(users[number]) for number in lines) * lines_per_user
-            if lines_left < 0:
-                break
+            if not room.take(lines, lines_per_user):
+                continue
             for number, weight in lines.items():
                 self._channel.reserve(lines_per_user, users[number])
                 backend.lines[number] = weight
@@ -114,8 +158,8 @@
             for table in self._subsets.tables
         )
 
-    def _due_changes(self, now: int, rates: RequestRates, hold_returning: bool) -> list[LineChange]:
-        """Return the changes to send, those that move the most requests first."""
+    def _due_changes(self, now: int, rates: RequestRates, hold_returning: bool, unusable: Set[int]) -> list[LineChange]:
+        """Return the changes to send, those of unusable tables first, then those that move the most requests."""
         changes: list[LineChange] = []
         for backend in self._endpoints.by_id.values():
             if backend.returning:
@@ -126,7 +170,7 @@
                     changes.append(LineChange(HIGHEST_RATE, backend, lines))
             else:
                 changes += self._changed_lines(backend, now, rates)
-        return sorted(changes, key=lambda change: -change.moved_rate)
+        return sorted(changes, key=lambda change: (unusable.isdisjoint(change.lines), -change.moved_rate))
 
     def _returning_lines(self, backend: Backend, now: int) -> dict[int, float]:
         lines = {}
--- a/tests/policy_harness.py
+++ b/tests/policy_harness.py
@@ -142,9 +142,9 @@
 
     # Events
 
-    def join(self, proxy: int, *standing: str) -> None:
+    def join(self, proxy: int, *standing: str, zone: int = 0) -> None:
         self.proxies[proxy] = SimulatedProxy(standing, self.now)
-        self.policy.on_proxy_joined(self.now, proxy, 0, 10.0, True)
+        self.policy.on_proxy_joined(self.now, proxy, zone, 10.0, True)
 
     def leave(self, proxy: int) -> None:
         if self.proxies.pop(proxy, None):
--- a/tests/test_rules_in_deploys.py
+++ b/tests/test_rules_in_deploys.py
@@ -14,7 +14,7 @@
 START_S, DEPLOY_S, REPLACED_FRACTION = 14.0, 27.0, 0.9
 DISRUPTED_AFTER = 8 * TICKS_PER_SECOND
 DRAIN_GRACE_S, UNSERVED_LIMIT_S = 4.2, 6.0
-SHORT_DRAIN_GRACE_S = 3.0
+SHORT_DRAIN_GRACE_S, SHORT_UNSERVED_LIMIT_S = 3.0, 5.3
 MAX_MESSAGES = 20
 
 
@@ -123,3 +123,14 @@
     fleet.run(DEPLOY_S)
     assert fleet.longest_unserved_s <= UNSERVED_LIMIT_S
     assert fleet.longest_drain_s <= DRAIN_GRACE_S
+
+
+@pytest.mark.parametrize("deploy_s", [26.0, 31.0, 33.0, 40.0])
+def test_a_deploy_zone_by_zone_beside_a_limit_of_messages_leaves_no_proxy_without_a_line(deploy_s: float) -> None:
+    # Guards against new lines that are never sent because withdrawals use up the messages for changes (review case 10).
+    fleet = fleet_with_message_limit()
+    fleet.deploy(REPLACED_FRACTION, deploy_s, zone_by_zone=True)
+    fleet.run(deploy_s + 10)
+    assert fleet.longest_unserved_s <= SHORT_UNSERVED_LIMIT_S
+    assert fleet.longest_drain_s <= SHORT_DRAIN_GRACE_S
+    assert fleet.most_messages <= MAX_MESSAGES
