Keep sums of the queued lines, and send few missed withdrawals sooner than many

Cause: each decision for a receiver added up all messages on their way, which took most of the longest rounds beside many joins; and a proxy that has missed little waited as long for its table as one whose missed lines cost as much as the table. Change: ChannelBudget keeps both sums. The wait before a message with missed withdrawals grows with their number, up to a third of the grace. benchmarks joins prints the longest round.

--- a/benchmarks/joins.py
+++ b/benchmarks/joins.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import random
+import time
 from collections import deque
 from dataclasses import dataclass, field
 from typing import NamedTuple
@@ -96,6 +97,7 @@
         self.queued_lines = self.sendable_lines = self.most_queued_lines = 0.0
         self.most_messages = 0
         self.messages = 0
+        self.longest_round_s = 0.0
         self.lines = 0.0
         self.drained_at: dict[str, int] = {}
         self.late: float = 0.0
@@ -123,7 +125,9 @@
         """Advance the time by one step: deliver and acknowledge messages, then run a decision round."""
         self.now += STEP_TICKS
         self._deliver()
+        started_at = time.perf_counter()
         effects = self.host.decide(self.now)
+        self.longest_round_s = max(self.longest_round_s, time.perf_counter() - started_at)
         assert not effects.errors, effects.errors
         for proxy, _, update in effects.updates:
             message = Message(proxy, update, MESSAGE_OVERHEAD + update.line_count)
@@ -209,6 +213,7 @@
         "limit of queued lines": fleet.max_queued_lines,
         "most messages to a proxy in 10 s": fleet.most_messages,
         "limit of messages": MAX_MESSAGES,
+        "longest round ms": round(1000 * fleet.longest_round_s, 1),
         "messages": fleet.messages,
         "lines": round(fleet.lines),
     }
--- a/onyxhead/policy/channel_budget.py
+++ b/onyxhead/policy/channel_budget.py
@@ -52,6 +52,9 @@
         #: The lines that the current round has reserved, by proxy.
         self.reserved: dict[int, float] = {}
         self.unacknowledged: list[SentMessage] = []
+        # Sums of the lines of both. Decisions ask for them for each receiver, so they aren't worked out each time.
+        self._reserved_lines = 0.0
+        self._unacknowledged_lines = 0.0
         self._max_messages = limits.max_messages
         self._message_window = limits.message_window
         #: The interval at which half of the messages that a proxy may be sent last for the whole message window.
@@ -63,10 +66,11 @@
     def begin_round(self, now: int, proxies: ProxyRegistry) -> None:
         """Discard expired messages and the reservations of the previous round."""
         self.reserved = {}
+        self._reserved_lines = 0.0
         for proxy in proxies.by_id.values():
             while proxy.message_times and proxy.message_times[0] <= now - self._message_window:
                 proxy.message_times.popleft()
-        self.unacknowledged = [sent for sent in self.unacknowledged if sent.expires_at > now]
+        self._keep([sent for sent in self.unacknowledged if sent.expires_at > now])
 
     def available(self, fraction: float, receivers: Sequence[Proxy]) -> float:
         """Return the lines that each receiver may get without using more than `fraction` of the queue limit.
@@ -105,15 +109,18 @@
         """Reserve lines for each receiver, and the cost of a message if it gets its first one in this round."""
         reserved = self.reserved
         for proxy in receivers:
-            reserved[proxy.id] = reserved.get(proxy.id, self.message_cost) + lines
+            before = reserved.get(proxy.id)
+            added = lines if before is not None else self.message_cost + lines
+            reserved[proxy.id] = (before or 0.0) + added
+            self._reserved_lines += added
 
     def queued(self) -> float:
         """Return the lines that are not acknowledged yet or are reserved in this round."""
-        return sum(sent.lines for sent in self.unacknowledged) + sum(self.reserved.values())
+        return self._unacknowledged_lines + self._reserved_lines
 
     def drained_at(self, now: int) -> float:
         """Return when all sent and reserved lines have left the channel, at its configured speed."""
-        return max(self._drained_at, now) + self.transfer_time(sum(self.reserved.values()))
+        return max(self._drained_at, now) + self.transfer_time(self._reserved_lines)
 
     def transfer_time(self, lines: float) -> float:
         """Return the time that the channel needs for this many lines, at its configured speed."""
@@ -131,6 +138,7 @@
         expires_at = now + self._lost_after
         for proxy, lines in self.reserved.items():
             self.unacknowledged.append(SentMessage(self.round_number, proxy, lines, expires_at))
+            self._unacknowledged_lines += lines
             receiver = proxies.by_id[proxy]
             receiver.message_times.append(now)
             receiver.awaited_rounds.append((self.round_number, now))
@@ -143,7 +151,7 @@
         self.last_acknowledged = now
         # The messages of one round go to different proxies and have no order among each other.
         same_round = [sent for sent in self.unacknowledged[:index] if sent.round_number == round_number]
-        self.unacknowledged = same_round + self.unacknowledged[index + 1 :]
+        self._keep(same_round + self.unacknowledged[index + 1 :])
 
     def _index(self, proxy: int, round_number: int) -> int | None:
         for index, sent in enumerate(self.unacknowledged):
@@ -153,4 +161,9 @@
 
     def forget_proxy(self, proxy: int) -> None:
         """Discard the messages to a proxy that left: they are lost, and would count as queued until they expire."""
-        self.unacknowledged = [sent for sent in self.unacknowledged if sent.proxy != proxy]
+        self._keep([sent for sent in self.unacknowledged if sent.proxy != proxy])
+
+    def _keep(self, unacknowledged: list[SentMessage]) -> None:
+        if len(unacknowledged) != len(self.unacknowledged):
+            self._unacknowledged_lines = sum(sent.lines for sent in unacknowledged)
+        self.unacknowledged = unacknowledged
--- a/onyxhead/policy/missed_withdrawals.py
+++ b/onyxhead/policy/missed_withdrawals.py
@@ -20,8 +20,8 @@
 
 #: A proxy that joins may have missed withdrawals while it was away, for up to this many drain graces.
 MAX_ABSENCE_GRACES = 4
-#: A proxy waits for its table for at least the drain grace divided by this number before it gets what it has missed.
-TABLE_WAIT_DIVISOR = 3
+#: A proxy gets a message of its own with what it has missed after the drain grace divided by this number at the latest.
+MAX_TABLE_WAIT_DIVISOR = 3
 #: The number of proxies that left for which to remember what they have applied.
 MAX_REMEMBERED_PROXIES = 8192
 
@@ -33,8 +33,9 @@
         self.enabled = deployment.proxies_keep_withdrawals
         self._channel = state.channel
         self._endpoints = state.endpoints
+        self._subsets = state.subsets
         self._drain_grace = deployment.safety.drain_grace
-        self._table_wait = self._drain_grace // TABLE_WAIT_DIVISOR
+        self._max_table_wait = self._drain_grace // MAX_TABLE_WAIT_DIVISOR
         self._message_wait = batching.message_wait
         #: For proxies that left, the time until which they have applied all withdrawals, the latest last.
         self._applied_until: dict[int, int] = {}
@@ -91,11 +92,16 @@
         # Withdrawals in a message that is sent anyway cost no overhead.
         if proxy.id in self._channel.reserved:
             return True
-        wait = 0 if proxy.has_tables else self._table_wait
+        wait = 0 if proxy.has_tables else self._wait_for_table(proxy)
         if self._channel.message_limit_is_near(proxy):
             wait = max(wait, self._message_wait)
         return now - min(proxy.missed_withdrawals.values()) >= wait
 
+    def _wait_for_table(self, proxy: Proxy) -> int:
+        """Return how long a proxy waits for its table first, which is longer if its missed withdrawals cost as much."""
+        table_size = len(self._endpoints.ready()) / self._subsets.count
+        return round(self._max_table_wait * min(1.0, 2 * len(proxy.missed_withdrawals) / max(1.0, table_size)))
+
     def _is_away(self, backend: str) -> bool:
         known = self._endpoints.by_id.get(backend)
         return known is None or not known.ready
