Look up the tables with a withdrawn backend once for all proxies

Cause: the host searched the tables of each proxy for each withdrawn or restored backend. Change: ProxyState.tables_with finds the tables once for a backend.

--- a/onyxhead/node/decision_round.py
+++ b/onyxhead/node/decision_round.py
@@ -105,8 +105,9 @@
         for backend in self.restored:
             # A line for the backend may be added by a decision that follows the one that restores the backend, so the
             # proxies to inform are known only after the last decision.
+            tables = self.state.tables_with(backend)
             for proxy, joined in self.state.joined.items():
-                if self.state.may_use(joined, backend):
+                if not tables.isdisjoint(joined.tables):
                     self._update_for(proxy).restored[backend] = None
         awaited_round = AwaitedRound(self.number, self.now)
         # Proxies with equal updates get the same object, which is then encoded only once.
@@ -129,13 +130,13 @@
     def _withdraw(self, backend: str, excluded: tuple[int, ...]) -> None:
         self.state.withdrawn[backend] = None
         excluded_proxies = set(excluded)
+        tables = self.state.tables_with(backend)
         for proxy, joined in self.state.joined.items():
-            if proxy in excluded_proxies:
+            if proxy in excluded_proxies or joined.silent:
                 continue
             # Where a proxy has no table from this controller, it may still use that of another one, which may have a
             # line for the backend.
-            has_line = self.state.may_use(joined, backend)
-            if not joined.silent and (has_line or self.state.lacks_a_table(joined)):
+            if not tables.isdisjoint(joined.tables) or self.state.lacks_a_table(joined):
                 self._update_for(proxy).withdrawn[backend] = None
 
     def _restore(self, backend: str) -> None:
--- a/onyxhead/node/proxy_state.py
+++ b/onyxhead/node/proxy_state.py
@@ -85,9 +85,9 @@
         """Return the proxies that use a table."""
         return [proxy for proxy, joined in self.joined.items() if table in joined.tables]
 
-    def may_use(self, joined: JoinedProxy, backend: str) -> bool:
-        """Return whether a table that the proxy uses has a line for the backend."""
-        return any(backend in self.tables.get(table, {}) for table in joined.tables)
+    def tables_with(self, backend: str) -> set[int]:
+        """Return the tables that have a line for the backend."""
+        return {number for number, lines in self.tables.items() if backend in lines}
 
     def lacks_a_table(self, joined: JoinedProxy) -> bool:
         """Return whether some group has no table of this controller, so that the proxy may use old lines for it."""
