Figures of the node: proxies that are still owed withdrawals

Cause: the log told who lacks tables, not who lacks withdrawals, so the two guesses of the review could not be told apart on a running node. Change: missed in the figures line, proxies_with_missed_withdrawals in the policy's statistics.

--- a/onyxhead/node/policy_host.py
+++ b/onyxhead/node/policy_host.py
@@ -181,6 +181,7 @@
             "bound": sum(1 for proxy in joined if proxy.tables),
             "lacking": sum(self.state.lacks_a_table(proxy) for proxy in joined if not proxy.silent),
             "postponed": policy.postponed_restorations,
+            "missed": policy.proxies_with_missed_withdrawals,
             "silent": sum(proxy.silent for proxy in joined),
             "ready": sum(endpoint.ready for endpoint in listed.values()),
             "names": len(listed),
--- a/onyxhead/policy/balancer.py
+++ b/onyxhead/policy/balancer.py
@@ -58,6 +58,7 @@
     admitted_fraction: float
     subset_count: int
     postponed_restorations: int
+    proxies_with_missed_withdrawals: int
 
 
 class WarmingBackend(NamedTuple):
@@ -211,6 +212,7 @@
             admitted_fraction=self.admission.admitted_fraction,
             subset_count=self.subsets.count,
             postponed_restorations=sum(proxy.restorations_postponed for proxy in self.proxies.by_id.values()),
+            proxies_with_missed_withdrawals=sum(bool(p.missed_withdrawals) for p in self.proxies.by_id.values()),
         )
 
     def warming_backends(self, now: int) -> list[WarmingBackend]:
