Send full tables without the lines of withdrawn backends

Cause: the host built a full table from the shared one, whose dead lines are removed only when the channel has room for changes, which it hasn't in a deploy. Change: a full table holds the lines that aren't withdrawn. A backend that returns is sent with its lines to all users of its tables, as before.

--- a/onyxhead/node/decision_round.py
+++ b/onyxhead/node/decision_round.py
@@ -73,6 +73,7 @@
         self.updates: dict[int, PendingUpdate] = {}
         self.restored: list[str] = []
         self.number = NO_ROUND
+        self._full_tables: dict[int, tuple[tuple[str, float], ...]] = {}
 
     def apply(self, decision: Decision, recipients: Iterable[int]) -> None:
         """Apply one decision; `recipients` are the proxies for which the policy has counted a message in this round."""
@@ -181,15 +182,18 @@
             pending.admission.clear()
         joined.tables[table] = groups
         pending.assigned_tables.append(table)
-        for backend in self.state.tables.get(table, {}):
-            if backend in self.state.withdrawn:
-                pending.withdrawn[backend] = None
         pending.admission += self.state.admission.get(table, {}).values()
 
+    def _usable_lines(self, table: int) -> tuple[tuple[str, float], ...]:
+        """Return the lines of a full table: those of withdrawn backends are left out, and sent when one returns."""
+        if table not in self._full_tables:
+            lines = self.state.tables.get(table, {}).items()
+            self._full_tables[table] = tuple(line for line in lines if line[0] not in self.state.withdrawn)
+        return self._full_tables[table]
+
     def _complete(self, joined: JoinedProxy, pending: PendingUpdate) -> ProxyUpdate:
         tables = [
-            TableUpdate(joined.tables[table], True, tuple(self.state.tables.get(table, {}).items()))
-            for table in pending.assigned_tables
+            TableUpdate(joined.tables[table], True, self._usable_lines(table)) for table in pending.assigned_tables
         ]
         tables += [
             TableUpdate(joined.tables[table], False, tuple(lines.items()))
--- a/onyxhead/policy/table_assignment.py
+++ b/onyxhead/policy/table_assignment.py
@@ -179,11 +179,14 @@
             cost += 1 + len(table.groups)
             for backend in self._endpoints.by_id.values():
                 if table.accepts(backend):
-                    has_line = backend.lines[table.number] > 0
-                    # Where a proxy keeps withdrawals, it is sent those of the table's lines only.
-                    cost += has_line + (backend.withdrawn_at > 0 and (has_line or not self._missed.enabled))
+                    cost += self._line_cost(backend, table)
         return cost
 
+    def _line_cost(self, backend: Backend, table: Table) -> int:
+        has_line, withdrawn = backend.lines[table.number] > 0, backend.withdrawn_at > 0
+        # Where a proxy keeps withdrawals, its table comes without the lines of withdrawn backends.
+        return has_line and not withdrawn if self._missed.enabled else has_line + withdrawn
+
     def _busy_limits(self, now: int, due: Sequence[Backend]) -> dict[Urgency, float]:
         """Return for how long tables may keep the channel busy while these withdrawals are due.
 
--- a/tests/test_policy_host.py
+++ b/tests/test_policy_host.py
@@ -127,6 +127,24 @@
     assert [(table.replaces_table, table.lines) for table in update.tables] == [(False, (("s4", 1.0),))]
 
 
+def test_a_full_table_leaves_out_withdrawn_backends_until_they_return() -> None:
+    # Guards against tables that cost two lines for each departed backend in a deploy.
+    scenario = HostScenario()
+    scenario.host.on_endpoint_update(scenario.now, WatchEvent.CACHED, ready_endpoints("s1", "s2"))
+    scenario.join(1)
+    scenario.run(2)
+    scenario.host.on_endpoint_update(scenario.now, WatchEvent.DELTA, [policy_harness.draining_endpoint("s2")])
+    scenario.decide()
+    scenario.join(2)
+    ((_, update),) = [(proxy, update) for proxy, update in scenario.decide() if proxy == 2]
+    assert [table.lines for table in update.tables if table.replaces_table] == [(("s1", 1.0),)]
+    assert "s2" not in update.withdrawn
+    scenario.host.on_endpoint_update(scenario.now, WatchEvent.DELTA, ready_endpoints("s2", started_at=scenario.now))
+    scenario.run(4)
+    assert scenario.proxies[2].tables == scenario.proxies[1].tables
+    assert scenario.proxies[2].tables[0]["s2"] > 0 and "s2" not in scenario.proxies[2].withdrawn
+
+
 def test_a_withdrawal_reaches_every_proxy_and_is_lifted_at_one_that_missed_the_return() -> None:
     scenario = HostScenario()
     scenario.host.on_endpoint_update(scenario.now, WatchEvent.CACHED, ready_endpoints("s1", "s2"))
