Pace the channel while proxies wait for tables, and send each what it has missed when that is due

Cause: seconds of messages stood in the queue, so a withdrawal went to all its proxies or, without room for all, to none; and each took a message to every proxy that had no table, which left no room for tables. Withdrawals are recorded for each proxy, and the one whose withdrawals are due first gets all of them, or its table where every deadline leaves time for it or it costs no more.

--- a/onyxhead/policy/balancer.py
+++ b/onyxhead/policy/balancer.py
@@ -15,6 +15,7 @@
 from onyxhead.policy.attempt_statistics import FleetStatistics
 from onyxhead.policy.capacity import update_capacities
 from onyxhead.policy.channel_budget import ChannelBudget
+from onyxhead.policy.channel_pacing import ChannelPacing
 from onyxhead.policy.decisions import AcknowledgementRequest, Decision, SubscribeToEndpoints, WakeUp
 from onyxhead.policy.endpoints import Backend, EndpointRegistry
 from onyxhead.policy.health_checks import due_health_checks, record_health_check
@@ -99,11 +100,18 @@
         self.admission = AdmissionController(deployment, utility, self.channel, feedback_delay, now)
         state = PolicyState(self.channel, self.endpoints, self.proxies, self.subsets)
         batching = WithdrawalBatching(state, deployment)
-        self.missed_withdrawals = MissedWithdrawals(state, deployment, batching)
+        self.pacing = ChannelPacing(state, deployment)
+        self.missed_withdrawals = MissedWithdrawals(state, deployment, batching, self.pacing)
         self.withdrawals = WithdrawalScheduler(state, deployment, batching, self.missed_withdrawals)
         self.restorations = RestorationScheduler(state, self.slow_start, deployment)
         self.table_assigner = TableAssigner(
-            state, self.slow_start, self.withdrawals, self.restorations, self.missed_withdrawals, deployment
+            state,
+            self.slow_start,
+            self.withdrawals,
+            self.restorations,
+            self.missed_withdrawals,
+            self.pacing,
+            deployment,
         )
         self.table_updater = TableUpdater(state, self.slow_start, self.weights, deployment, now)
 
@@ -229,11 +237,13 @@
     def decisions(self, now: int) -> Iterator[Decision]:
         """Run one decision round and yield its decisions."""
         self.channel.begin_round(now, self.proxies)
+        self.pacing.begin_round(now)
         if self._subscription_required and self._subscribe_at is not None and self._subscribe_at <= now:
             self._subscribe_at = None
             yield SubscribeToEndpoints()
         yield from self.withdrawals.withdraw(now)
-        yield from self.missed_withdrawals.send(now, self.proxies.with_tables())
+        if not self.pacing.active:
+            yield from self.missed_withdrawals.send(now, self.proxies.with_tables())
         ready = self.endpoints.ready()
         if self._health_checks_allowed:
             yield from due_health_checks(now, ready)
@@ -241,8 +251,8 @@
             self._last_change_round = now
             yield from self._decide_changes(now, ready)
         yield from self.table_assigner.assign(now)
-        yield from self.missed_withdrawals.send(now, self.proxies.waiting_for_tables())
-        if self.restorations.remaining_due(now) and not self._withdrawals_wait(now):
+        yield from self.missed_withdrawals.send(now, self.proxies.all())
+        if self.restorations.remaining_due(now) and not self.pacing.active and not self._withdrawals_wait(now):
             yield from self.restorations.restore_remaining(now)
         if self.channel.reserved:
             self.channel.finish_round(now, self.proxies)
@@ -267,9 +277,13 @@
         withdrawals_wait = self._withdrawals_wait(now)
         if not withdrawals_wait:
             yield from self.admission.send_levels(self.subsets.tables, self.proxies)
-        yield from self.table_updater.send_changes(now, self.rates, withdrawals_wait)
+        # Other changes wait for tables as well, since they would fill the channel whenever it is nearly idle.
+        only_urgent = withdrawals_wait or self.pacing.active
+        yield from self.table_updater.send_changes(now, self.rates, only_urgent)
 
     def _withdrawals_wait(self, now: int) -> bool:
+        if self.pacing.active and any(proxy.missed_withdrawals for proxy in self.proxies.by_id.values()):
+            return True
         return bool(self.withdrawals.due(now, self.withdrawals.batching.window))
 
     def _evaluate_attempts(self, now: int, ready: Sequence[Backend]) -> None:
--- a/onyxhead/policy/channel_budget.py
+++ b/onyxhead/policy/channel_budget.py
@@ -122,6 +122,13 @@
         """Return when all sent and reserved lines have left the channel, at its configured speed."""
         return max(self._drained_at, now) + self.transfer_time(self._reserved_lines)
 
+    def busy_time(self, now: int) -> float:
+        """Return for how long the sent and reserved lines keep the channel busy.
+
+        The second estimate is the lower one if acknowledgements arrive sooner than expected.
+        """
+        return min(self.drained_at(now) - now, self.transfer_time(self.queued()))
+
     def transfer_time(self, lines: float) -> float:
         """Return the time that the channel needs for this many lines, at its configured speed."""
         return lines * TICKS_PER_SECOND / self.lines_per_second
--- a/onyxhead/policy/missed_withdrawals.py
+++ b/onyxhead/policy/missed_withdrawals.py
@@ -3,14 +3,15 @@
 A withdrawal goes to all proxies that may use its backend when the backend departs. A proxy misses it if it is not
 joined then, as it may come back with lines from before its stream broke, or come with lines of another controller. A
 proxy that has been sent many messages is left out as well, so that one message carries several withdrawals and its
-limit of messages is not reached.
+limit of messages is not reached; and all are while the channel is paced (see `channel_pacing`).
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 
 from onyxhead.policy.channel_budget import WITHDRAWAL_QUEUE_FRACTION
+from onyxhead.policy.channel_pacing import ChannelPacing
 from onyxhead.policy.decisions import ProxyWithdrawals
 from onyxhead.policy.endpoints import Backend
 from onyxhead.policy.inputs import Deployment
@@ -29,7 +30,9 @@
 class MissedWithdrawals:
     """The withdrawals that proxies have missed. Used only where a withdrawal can be sent to single proxies."""
 
-    def __init__(self, state: PolicyState, deployment: Deployment, batching: WithdrawalBatching) -> None:
+    def __init__(
+        self, state: PolicyState, deployment: Deployment, batching: WithdrawalBatching, pacing: ChannelPacing
+    ) -> None:
         self.enabled = deployment.proxies_keep_withdrawals
         self._channel = state.channel
         self._endpoints = state.endpoints
@@ -37,6 +40,7 @@
         self._drain_grace = deployment.safety.drain_grace
         self._max_table_wait = self._drain_grace // MAX_TABLE_WAIT_DIVISOR
         self._message_wait = batching.message_wait
+        self._pacing = pacing
         #: For proxies that left, the time until which they have applied all withdrawals, the latest last.
         self._applied_until: dict[int, int] = {}
 
@@ -64,9 +68,16 @@
         if len(self._applied_until) > MAX_REMEMBERED_PROXIES:
             del self._applied_until[next(iter(self._applied_until))]
 
-    def must_gather(self, proxy: Proxy) -> bool:
-        """Return whether a withdrawal is recorded for the proxy first, because it has been sent many messages."""
-        return self.enabled and self._channel.message_limit_is_near(proxy)
+    def gathering(self, proxies: Sequence[Proxy]) -> list[Proxy]:
+        """Return the proxies for which a withdrawal is recorded first, and sent later together with others.
+
+        They have been sent many messages, or the channel is paced.
+        """
+        if not self.enabled:
+            return []
+        if self._pacing.active:
+            return list(proxies)
+        return [proxy for proxy in proxies if self._channel.message_limit_is_near(proxy)]
 
     def add(self, backend: Backend, proxies: Iterable[Proxy], now: int) -> None:
         """Record that these proxies have missed the withdrawal of a backend."""
@@ -74,9 +85,10 @@
             proxy.missed_withdrawals[backend.id] = backend.departed_at or now
 
     def send(self, now: int, proxies: Iterable[Proxy]) -> Iterator[ProxyWithdrawals]:
-        """Yield what these proxies have missed and reserve room for it, as far as it is due and fits."""
-        for proxy in proxies:
-            if not proxy.missed_withdrawals or not self._is_due(proxy, now):
+        """Yield what these proxies have missed, the oldest first, as far as it is due, and reserve room for it."""
+        owed = [proxy for proxy in proxies if proxy.missed_withdrawals]
+        for proxy in sorted(owed, key=Proxy.missed_since):
+            if not self._is_due(proxy, now):
                 continue
             missed = tuple(backend for backend in proxy.missed_withdrawals if self._is_away(backend))
             if not self._channel.allows_message(WITHDRAWAL_QUEUE_FRACTION, proxy):
@@ -92,10 +104,12 @@
         # Withdrawals in a message that is sent anyway cost no overhead.
         if proxy.id in self._channel.reserved:
             return True
-        wait = 0 if proxy.has_tables else self._wait_for_table(proxy)
-        if self._channel.message_limit_is_near(proxy):
-            wait = max(wait, self._message_wait)
-        return now - min(proxy.missed_withdrawals.values()) >= wait
+        waited = now - proxy.missed_since()
+        if self._channel.message_limit_is_near(proxy) and waited < self._message_wait:
+            return False
+        if self._pacing.active:
+            return self._pacing.has_room(now)
+        return proxy.has_tables or waited >= self._wait_for_table(proxy)
 
     def _wait_for_table(self, proxy: Proxy) -> int:
         """Return how long a proxy waits for its table first, which is longer if its missed withdrawals cost as much."""
--- a/onyxhead/policy/proxies.py
+++ b/onyxhead/policy/proxies.py
@@ -62,6 +62,10 @@
         """
         return self.lacks_a_table or not self.assigned_tables
 
+    def missed_since(self) -> int:
+        """Return from when the drain grace of the oldest withdrawal counts that the proxy has missed."""
+        return min(self.missed_withdrawals.values())
+
     def catch_up(self, now: int) -> None:
         """Note that the proxy is sent all withdrawals that it has missed, or tables in which they hold."""
         self.missed_withdrawals.clear()
--- a/onyxhead/policy/table_assignment.py
+++ b/onyxhead/policy/table_assignment.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from onyxhead.policy.channel_budget import TABLE_QUEUE_FRACTION, URGENT_TABLE_QUEUE_FRACTION
+from onyxhead.policy.channel_pacing import ChannelPacing
 from onyxhead.policy.decisions import ProxyWithdrawals, TableAssignment
 from onyxhead.policy.endpoints import Backend
 from onyxhead.policy.inputs import Deployment
@@ -20,8 +21,6 @@
 
 #: Full tables may keep the channel busy for the drain grace divided by this number.
 BUSY_TIME_DIVISOR = 4
-#: Full tables required by a safety rule may use up this fraction of the time that withdrawals leave.
-SPARE_TIME_FRACTION = 0.75
 
 
 class Assignment(NamedTuple):
@@ -58,6 +57,7 @@
         withdrawals: WithdrawalScheduler,
         restorations: RestorationScheduler,
         missed: MissedWithdrawals,
+        pacing: ChannelPacing,
         deployment: Deployment,
     ) -> None:
         self._channel, self._endpoints, self._proxies, self._subsets = state
@@ -65,6 +65,7 @@
         self._withdrawals = withdrawals
         self._restorations = restorations
         self._missed = missed
+        self._pacing = pacing
         self._drain_grace = deployment.safety.drain_grace
         self._usual_busy_limit = self._drain_grace / BUSY_TIME_DIVISOR
         self._group_count = len(deployment.groups)
@@ -82,6 +83,7 @@
         if due and not self._missed.enabled:
             return
         busy_limits = self._busy_limits(now, due)
+        replaced_time = 0.0
         usable_lines = self._restorations.usable_lines()
         usable = set(usable_lines)
         assignments = self._assignments(waiting, usable)
@@ -99,7 +101,9 @@
             # Each line of a table may need a restoration, which about doubles the cost of a join.
             postponed = not self._restorations.leave_channel_idle(2 * waiting_cost)
             restored = self._restorations.with_tables(now, proxy, assignment.tables, usable_lines, postponed)
-            if not self._fits(now, proxy, assignment.cost + len(restored), queue_fraction, busy_limits[urgency]):
+            cost = assignment.cost + len(restored)
+            replaced_time += self._pacing.time_for_missed(proxy)
+            if not self._fits(now, proxy, cost, queue_fraction, busy_limits[urgency] + replaced_time):
                 return
             proxy.restored, proxy.restorations_postponed = set(restored), postponed
             yield from self._carry_out(now, proxy, assignment, restored)
@@ -188,26 +192,23 @@
         return has_line and not withdrawn if self._missed.enabled else has_line + withdrawn
 
     def _busy_limits(self, now: int, due: Sequence[Backend]) -> dict[Urgency, float]:
-        """Return for how long tables may keep the channel busy while these withdrawals are due.
-
-        The withdrawals, or one that becomes due next, must still arrive within the drain grace. They leave room for the
-        tables of proxies that may have no line in any case, as these withdrawals may be the reason for that.
-        """
+        """Return for how long tables may keep the channel busy while these withdrawals are due."""
         usual = self._usual_busy_limit
-        if not self._missed.enabled:
-            return dict.fromkeys(Urgency, usual)
-        spare = SPARE_TIME_FRACTION * self._withdrawals.batching.spare_time(now, due)
-        return {
-            Urgency.USUAL: 0.0 if due else usual,
-            Urgency.OLD_TABLES_UNSAFE: spare if due else max(usual, spare),
-            Urgency.MAY_HAVE_NO_LINE: max(usual, spare),
-        }
+        if self._pacing.active:
+            limit = self._pacing.time_for_tables(now)
+            # Withdrawals leave room to proxies that may have no line in any case, as they may be the reason for that.
+            return {Urgency.USUAL: limit, Urgency.OLD_TABLES_UNSAFE: limit, Urgency.MAY_HAVE_NO_LINE: max(usual, limit)}
+        limits = dict.fromkeys(Urgency, usual)
+        if due and self._missed.enabled:
+            limits[Urgency.USUAL] = 0.0
+        return limits
 
     def _in_order(self, now: int, proxies: Iterable[Proxy], usable: set[int]) -> list[tuple[Proxy, Urgency]]:
         """Return proxies that wait for tables in the order in which they get them.
 
-        Where tables go out beside withdrawals, each proxy must come before those that leave less room to them, since
-        the first one that doesn't fit ends the round.
+        Where tables go out beside withdrawals, each proxy must come before those whose tables may take less room, since
+        the first one that doesn't fit ends the round. These are the less urgent ones, and then those that have missed
+        fewer withdrawals, which the table replaces.
         """
         old_tables_unsafe = self._old_tables_may_be_unsafe(now)
 
@@ -217,18 +218,22 @@
             waited_long = now - proxy.joined_at > self._withdrawals.batching.window
             return Urgency.OLD_TABLES_UNSAFE if old_tables_unsafe and waited_long else Urgency.USUAL
 
-        def order(candidate: tuple[Proxy, Urgency]) -> tuple[int, tuple[bool, bool, float, int]]:
-            return -candidate[1] if self._missed.enabled else 0, _assignment_order(candidate[0], usable)
+        def order(candidate: tuple[Proxy, Urgency]) -> tuple[int, int, tuple[bool, bool, float, int]]:
+            proxy, urgency = candidate
+            first = -urgency if self._missed.enabled else 0
+            return first, -len(proxy.missed_withdrawals), _assignment_order(proxy, usable)
 
         return sorted(((proxy, urgency(proxy)) for proxy in proxies), key=order)
 
     def _fits(self, now: int, proxy: Proxy, cost: int, queue_fraction: float, busy_limit: float) -> bool:
-        channel = self._channel
-        if channel.available(queue_fraction, [proxy]) < cost:
+        if self._channel.available(queue_fraction, [proxy]) < cost:
             return False
-        # The second estimate is the lower one if acknowledgements arrive sooner than expected.
-        busy_for = min(channel.drained_at(now) - now, channel.transfer_time(channel.queued()))
-        return busy_for <= busy_limit
+        if not self._pacing.active:
+            return self._channel.busy_time(now) <= busy_limit
+        # A table that costs no more than the withdrawals that it replaces delays nothing.
+        time_needed = self._channel.transfer_time(self._channel.message_cost + cost)
+        replaces_more = time_needed <= self._pacing.time_for_missed(proxy)
+        return self._pacing.has_room(now) and (replaces_more or self._channel.busy_time(now) <= busy_limit)
 
 
 def _has_new_table(proxy: Proxy, assignment: Assignment) -> bool:
--- a/onyxhead/policy/table_changes.py
+++ b/onyxhead/policy/table_changes.py
@@ -90,14 +90,14 @@
         self._proxies_keep_withdrawals = deployment.proxies_keep_withdrawals
 
     def send_changes(
-        self, now: int, rates: RequestRates, withdrawals_wait: bool
+        self, now: int, rates: RequestRates, only_urgent: bool
     ) -> Iterator[Withdrawal | ProxyWithdrawals | TableChange]:
         """Yield as many changes as fit and reserve room for them; for a returning backend, also end its withdrawal.
 
-        While withdrawals wait for room, only changes are sent that give a table its first usable line.
+        With `only_urgent`, only changes are sent that give a table its first usable line.
         """
         users = {table.number: table.users(self._proxies.by_id.values()) for table in self._subsets.tables}
-        only_urgent = withdrawals_wait or self._must_wait(now)
+        only_urgent = only_urgent or self._must_wait(now)
         room = ChangeRoom(self._channel, users, self._endpoints.usable_tables(), only_urgent)
         if only_urgent and not room.unusable:
             return
--- a/onyxhead/policy/withdrawals.py
+++ b/onyxhead/policy/withdrawals.py
@@ -82,15 +82,16 @@
         all_proxies, due = self._proxies.all(), self.due(now, self.batching.window)
         if not due:
             return
-        gathering_proxies = [proxy for proxy in all_proxies if self._missed.must_gather(proxy)]
+        gathering_proxies = self._missed.gathering(all_proxies)
         gathering = self._find_holders(due, gathering_proxies)
-        receivers = [proxy for proxy in all_proxies if not self._missed.must_gather(proxy)]
+        gathering_ids = {proxy.id for proxy in gathering_proxies}
+        receivers = [proxy for proxy in all_proxies if proxy.id not in gathering_ids]
         if not self._channel.allows_messages(WITHDRAWAL_QUEUE_FRACTION, receivers):
             return
         holders = self._find_holders(due, receivers)
         lines_left = self._channel.available(WITHDRAWAL_QUEUE_FRACTION, receivers) * len(receivers)
         cost = sum(map(len, holders.values()))
-        if self.batching.should_wait(now, due, lines_left, cost, receivers):
+        if receivers and self.batching.should_wait(now, due, lines_left, cost, receivers):
             return
         for backend in sorted(due, key=lambda candidate: _urgency(candidate, now)):
             lines_left -= len(holders[backend.id])
--- a/tests/test_rules_in_deploys.py
+++ b/tests/test_rules_in_deploys.py
@@ -70,6 +70,27 @@
     assert fleet.controllers[0].most_queued_lines <= fleet.controllers[0].limits.max_queued_lines
 
 
+@pytest.mark.parametrize("next_after_s", [6, 8, 11])
+def test_controllers_that_restart_one_after_the_other_in_a_deploy_send_withdrawals_in_time(next_after_s: int) -> None:
+    # Guards against proxies without tables that all withdrawals go to, so that the channel has no room for tables.
+    fleet = fleet_in_deploy(controllers=2)
+    for controller, start_s in ((0, 4), (1, 4 + next_after_s)):
+        fleet.after(start_s * TICKS_PER_SECOND, lambda index=controller: fleet.kill(index, seconds=3.0))
+    fleet.run(DEPLOY_S)
+    assert fleet.longest_drain_s <= DRAIN_GRACE_S
+    assert fleet.lacking_tables() == 0
+
+
+def test_a_channel_filled_by_joins_delays_no_withdrawal_at_the_other_proxies() -> None:
+    # Guards against withdrawals that go to all proxies or to none, and so to none while the queue has no room for all.
+    fleet = SimulatedFleet(settings(), PROXIES, BACKENDS)
+    fleet.join_all(START_S)
+    fleet.deploy(0.6, 7.0)
+    fleet.after(3 * TICKS_PER_SECOND, lambda: fleet.break_streams(0.5))
+    fleet.run(7.0 + DRAIN_GRACE_S)
+    assert fleet.longest_drain_s <= DRAIN_GRACE_S
+
+
 def fleet_with_message_limit() -> SimulatedFleet:
     """Return a few proxies that may be sent a limited number of messages, and use backends of their zone for a group."""
     limited = settings(
