Remember the tables of a proxy that leaves, and send it its table first if they have no line left

Cause: whether a proxy may have no line was judged by its tables of the present stream only, so one that came back with the withdrawn line of its subset waited behind all others. Change: the tables that a proxy acknowledged are remembered when it leaves, as its withdrawals are. They decide the order in which tables go out, nothing else.

--- a/onyxhead/policy/missed_withdrawals.py
+++ b/onyxhead/policy/missed_withdrawals.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator, Sequence
+from typing import NamedTuple
 
 from onyxhead.policy.channel_budget import WITHDRAWAL_QUEUE_FRACTION
 from onyxhead.policy.channel_pacing import ChannelPacing
@@ -23,10 +24,20 @@
 MAX_ABSENCE_GRACES = 4
 #: A proxy gets a message of its own with what it has missed after the drain grace divided by this number at the latest.
 MAX_TABLE_WAIT_DIVISOR = 3
-#: The number of proxies that left for which to remember what they have applied.
+#: The number of proxies that left whose state to remember.
 MAX_REMEMBERED_PROXIES = 8192
 
 
+class LeftProxy(NamedTuple):
+    """A proxy that left: until when it has applied all withdrawals, 0 if it has not, and the tables that it had."""
+
+    applied_until: int
+    tables: frozenset[int]
+
+
+UNKNOWN_PROXY = LeftProxy(0, frozenset())
+
+
 class MissedWithdrawals:
     """The withdrawals that proxies have missed. Used only where a withdrawal can be sent to single proxies."""
 
@@ -41,14 +52,14 @@
         self._max_table_wait = self._drain_grace // MAX_TABLE_WAIT_DIVISOR
         self._message_wait = batching.message_wait
         self._pacing = pacing
-        #: For proxies that left, the time until which they have applied all withdrawals, the latest last.
-        self._applied_until: dict[int, int] = {}
+        #: The state of proxies when they left, the latest last.
+        self._left: dict[int, LeftProxy] = {}
 
     def on_joined(self, proxy: Proxy) -> None:
         """Record the withdrawals that a proxy may have missed before it joined."""
         if not self.enabled:
             return
-        applied_until = self._applied_until.get(proxy.id, 0)
+        applied_until, proxy.earlier_tables = self._left.get(proxy.id, UNKNOWN_PROXY)
         missed_from = proxy.joined_at - MAX_ABSENCE_GRACES * self._drain_grace
         # Another controller may have restored a backend at the proxy if it was told late of the departure.
         certain_before = proxy.joined_at - self._drain_grace
@@ -61,12 +72,14 @@
 
     def on_left(self, proxy: Proxy) -> None:
         """Remember what a proxy that leaves has applied, in case it joins again."""
-        self._applied_until.pop(proxy.id, None)
-        if not self.enabled or proxy.missed_withdrawals or not 0 < proxy.caught_up_at <= proxy.applied_until:
+        if not self.enabled:
             return
-        self._applied_until[proxy.id] = proxy.applied_until
-        if len(self._applied_until) > MAX_REMEMBERED_PROXIES:
-            del self._applied_until[next(iter(self._applied_until))]
+        caught_up = not proxy.missed_withdrawals and 0 < proxy.caught_up_at <= proxy.applied_until
+        applied_until = proxy.applied_until if caught_up else 0
+        self._left.pop(proxy.id, None)
+        self._left[proxy.id] = LeftProxy(applied_until, proxy.known_tables)
+        if len(self._left) > MAX_REMEMBERED_PROXIES:
+            del self._left[next(iter(self._left))]
 
     def gathering(self, proxies: Sequence[Proxy]) -> list[Proxy]:
         """Return the proxies for which a withdrawal is recorded first, and sent later together with others.
--- a/onyxhead/policy/proxies.py
+++ b/onyxhead/policy/proxies.py
@@ -44,6 +44,10 @@
     message_times: deque[int] = field(default_factory=deque)
     #: The numbers of the tables last assigned to the proxy; after a repartition, still those of the old partition.
     assigned_tables: frozenset[int] = frozenset()
+    #: When the proxy was last sent these tables, 0 before the first time.
+    tables_sent_at: int = 0
+    #: The numbers of the tables that the proxy had from this controller before, also on an earlier stream.
+    earlier_tables: frozenset[int] = frozenset()
     #: The backends that were restored at the proxy with its tables or since.
     restored: set[str] = field(default_factory=set)
     #: Set if backends that have been away were not restored with its tables.
@@ -62,6 +66,17 @@
         """
         return self.lacks_a_table or not self.assigned_tables
 
+    @property
+    def known_tables(self) -> frozenset[int]:
+        """Return the numbers of the tables that the proxy certainly has from this controller, as far as it is known."""
+        has_applied_tables = 0 < self.tables_sent_at <= self.applied_until
+        return self.assigned_tables if has_applied_tables else self.earlier_tables
+
+    def take_tables(self, now: int, tables: frozenset[int]) -> None:
+        """Note that the proxy is sent these tables in place of the ones that it has."""
+        self.earlier_tables = self.known_tables
+        self.assigned_tables, self.tables_sent_at = tables, now
+
     def missed_since(self) -> int:
         """Return from when the drain grace of the oldest withdrawal counts that the proxy has missed."""
         return min(self.missed_withdrawals.values())
--- a/onyxhead/policy/table_assignment.py
+++ b/onyxhead/policy/table_assignment.py
@@ -112,7 +112,7 @@
         self, now: int, proxy: Proxy, assignment: Assignment, restored: tuple[str, ...]
     ) -> Iterator[TableAssignment | ProxyWithdrawals]:
         proxy.has_tables = proxy.has_withdrawals = True
-        proxy.assigned_tables = frozenset(table.number for table in assignment.tables)
+        proxy.take_tables(now, frozenset(table.number for table in assignment.tables))
         proxy.lacks_a_table = assignment.incomplete
         proxy.catch_up(now)
         self._channel.reserve(assignment.cost + len(restored), [proxy])
@@ -243,7 +243,7 @@
 
 def _may_have_no_line(proxy: Proxy, usable: set[int]) -> bool:
     """Return whether the proxy may have no usable line for some group, given the tables with a usable line."""
-    return proxy.lacks_a_table or not proxy.assigned_tables <= usable
+    return proxy.lacks_a_table or not (proxy.assigned_tables or proxy.earlier_tables) <= usable
 
 
 def _assignment_order(proxy: Proxy, usable: set[int]) -> tuple[bool, bool, float, int]:
--- a/tests/test_policy_missed_withdrawals.py
+++ b/tests/test_policy_missed_withdrawals.py
@@ -54,4 +54,37 @@
         scenario.join(proxy)
         scenario.run(1)
         scenario.host.on_stream_closed(scenario.now, proxy, scenario.streams.pop(proxy))
-    assert list(scenario.host.policy.missed_withdrawals._applied_until) == [2, 3]
+    assert list(scenario.host.policy.missed_withdrawals._left) == [2, 3]
+
+
+def test_a_proxy_that_comes_back_with_one_withdrawn_line_gets_its_table_first() -> None:
+    # Guards against proxies without a line that wait for their table behind all others whose streams broke.
+    names = [f"s{number}" for number in range(20)]
+    scenario = HostScenario(proxies=40)
+    scenario.host.on_endpoint_update(scenario.now, WatchEvent.CACHED, ready_endpoints(*names))
+    for proxy in range(40):
+        scenario.join(proxy)
+    scenario.run(5)
+    policy = scenario.host.policy
+    counts = [len(names)] * len(policy.subsets.tables)
+    policy.subsets.repartition(scenario.now, counts, True, policy.endpoints.ready(), policy.proxies.all())
+    scenario.run(5)
+    without_line = {number for number, double in scenario.proxies.items() if set(double.tables[0]) == {"s3"}}
+    assert without_line
+    scenario.host.on_endpoint_update(scenario.now, WatchEvent.DELTA, [draining_endpoint("s3")])
+    while policy.subsets.count > 1:
+        scenario.run(0.1, acknowledging=False)
+    for proxy in range(40):
+        scenario.join(proxy)
+    sent = [proxy for proxy, update in scenario.decide() if any(table.replaces_table for table in update.tables)]
+    assert set(sent[: len(without_line)]) == without_line
+    assert len(sent) < 40
+
+
+def test_tables_that_were_not_acknowledged_before_the_stream_broke_are_not_the_ones_of_the_proxy() -> None:
+    scenario = scenario_with_withdrawals()
+    scenario.acknowledge(1)
+    first = scenario.host.policy.proxies.by_id[1].assigned_tables
+    scenario.host.policy.proxies.by_id[1].take_tables(scenario.now, frozenset({7}))
+    scenario.join(1)
+    assert scenario.host.policy.proxies.by_id[1].earlier_tables == first
--- a/tests/test_rules_in_deploys.py
+++ b/tests/test_rules_in_deploys.py
@@ -146,6 +146,22 @@
     assert fleet.longest_drain_s <= DRAIN_GRACE_S
 
 
+@pytest.mark.parametrize("broken_fraction", [0.37, 0.83])
+def test_streams_that_break_after_subsets_for_few_connections_leave_no_proxy_without_a_line(
+    broken_fraction: float,
+) -> None:
+    # Guards against proxies that come back with the one line of their subset, withdrawn by then, and wait behind others.
+    fleet = SimulatedFleet(settings(), PROXIES, BACKENDS)
+    fleet.join_all(START_S)
+    fleet.failing_fraction = 0.5
+    fleet.run(12)
+    fleet.deploy(REPLACED_FRACTION, DEPLOY_S)
+    fleet.after(3 * TICKS_PER_SECOND, lambda: fleet.break_streams(broken_fraction))
+    fleet.run(DEPLOY_S)
+    assert fleet.longest_unserved_s <= UNSERVED_LIMIT_S
+    assert fleet.longest_drain_s <= DRAIN_GRACE_S
+
+
 @pytest.mark.parametrize("deploy_s", [26.0, 31.0, 33.0, 40.0])
 def test_a_deploy_zone_by_zone_beside_a_limit_of_messages_leaves_no_proxy_without_a_line(deploy_s: float) -> None:
     # Guards against new lines that are never sent because withdrawals use up the messages for changes (review case 10).
