Pace the channel only for tables that can be sent

Cause: read, not seen: a proxy that waits for its table at its limit of messages would keep the channel paced, and changes for the others waiting, until its messages leave the window. Change: such a proxy doesn't count.

--- a/onyxhead/policy/channel_pacing.py
+++ b/onyxhead/policy/channel_pacing.py
@@ -10,6 +10,7 @@
 
 import math
 
+from onyxhead.policy.channel_budget import URGENT_TABLE_QUEUE_FRACTION
 from onyxhead.policy.inputs import Deployment
 from onyxhead.policy.proxies import Proxy
 from onyxhead.policy.state import PolicyState
@@ -45,10 +46,14 @@
         self.active = waiting > 0 and (self.active or take_long)
 
     def _count_waiting(self) -> int:
-        """Return how many proxies wait for a table that has a usable line, so that it can be sent."""
+        """Return how many proxies wait for a table that can be sent: it has a usable line, and a message is left."""
         waiting = self._proxies.waiting_for_tables()
         usable = self._endpoints.usable_tables() if waiting else set()
-        return sum(any(table.number in usable for table in self._subsets.tables_for(proxy)) for proxy in waiting)
+        return sum(
+            self._channel.allows_message(URGENT_TABLE_QUEUE_FRACTION, proxy)
+            and any(table.number in usable for table in self._subsets.tables_for(proxy))
+            for proxy in waiting
+        )
 
     def has_room(self, now: int) -> bool:
         """Return whether another message may be sent now."""
