Let withdrawals in a paced channel wait for tables no longer than they need themselves

Cause: thought through, then shown in simulated time: where the drain grace is long, tables had the channel until a third of the grace was left, so a drained backend was used by proxies that had their tables until hundreds of others had theirs. Change: withdrawals go first once they have waited for twice the time that one to all proxies takes; the channel is kept busy for a second at most.

--- a/onyxhead/policy/channel_pacing.py
+++ b/onyxhead/policy/channel_pacing.py
@@ -14,13 +14,17 @@
 from onyxhead.policy.inputs import Deployment
 from onyxhead.policy.proxies import Proxy
 from onyxhead.policy.state import PolicyState
+from onyxhead.time_units import TICKS_PER_SECOND
 
 #: The channel is paced if it would otherwise be busy for longer than the drain grace divided by this number.
 START_DIVISOR = 6
-#: While it is paced, the channel is kept busy for the drain grace divided by this number.
+#: While it is paced, the channel is kept busy for the drain grace divided by this number, and no longer than a second.
 BUSY_TIME_DIVISOR = 8
+MAX_BUSY_TICKS = TICKS_PER_SECOND
 #: Tables leave the drain grace divided by this number to withdrawals, as further ones may become due.
 RESERVE_DIVISOR = 3
+#: The fraction of the channel that withdrawals to all proxies may use beside tables.
+WITHDRAWAL_CHANNEL_FRACTION = 0.5
 
 
 class ChannelPacing:
@@ -35,7 +39,7 @@
         self._enabled = deployment.proxies_keep_withdrawals
         self._channel, self._endpoints, self._proxies, self._subsets = state
         self._drain_grace = deployment.safety.drain_grace
-        self._max_busy_time = self._drain_grace / BUSY_TIME_DIVISOR
+        self._max_busy_time = min(self._drain_grace / BUSY_TIME_DIVISOR, MAX_BUSY_TICKS)
 
     def begin_round(self, now: int) -> None:
         """Start to pace the channel if the tables that proxies wait for take long; end it when none waits."""
@@ -60,16 +64,28 @@
         return self._channel.busy_time(now) <= self._max_busy_time
 
     def time_for_tables(self, now: int) -> float:
-        """Return for how long tables may keep the channel busy without making any missed withdrawal late.
+        """Return for how long tables may keep the channel busy while withdrawals wait; negative if they may not.
 
-        Proxies are served in the order in which their withdrawals are due, so the time is the least that any leaves.
+        No missed withdrawal may become late. Proxies are served in the order in which their withdrawals are due, so the
+        time is the least that any leaves. Where the grace is long, withdrawals still don't wait for all tables.
         """
+        missed = sorted(self._missed_lines())
+        if not missed:
+            return math.inf
+        oldest_deadline, _ = missed[0]
+        if now - (oldest_deadline - self._drain_grace) > self._max_wait():
+            return -1.0
         spare_time, lines = math.inf, 0.0
-        for deadline, cost in sorted(self._missed_lines()):
+        for deadline, cost in missed:
             lines += cost
             spare_time = min(spare_time, deadline - self._channel.transfer_time(lines))
         return spare_time - now - self._channel.max_delay - self._drain_grace / RESERVE_DIVISOR
 
+    def _max_wait(self) -> float:
+        """Return how long withdrawals may wait while tables are sent, so that both get about half of the channel."""
+        lines_to_all = len(self._proxies) * (self._channel.message_cost + 1)
+        return self._channel.transfer_time(lines_to_all) / WITHDRAWAL_CHANNEL_FRACTION
+
     def time_for_missed(self, proxy: Proxy) -> float:
         """Return the time that the channel needs for what a proxy has missed, 0 if that is nothing."""
         if not proxy.missed_withdrawals:
--- a/tests/test_rules_in_deploys.py
+++ b/tests/test_rules_in_deploys.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from onyxhead.policy.channel_pacing import MAX_BUSY_TICKS
 from onyxhead.time_units import TICKS_PER_SECOND
 from tests.node_testbed import SETTINGS
 from tests.simulated_fleet import SimulatedFleet
@@ -91,6 +92,24 @@
     assert fleet.longest_drain_s <= DRAIN_GRACE_S
 
 
+def test_withdrawals_do_not_wait_for_all_tables_where_the_drain_grace_is_long() -> None:
+    # Guards against proxies that use a drained backend until hundreds of others have their tables.
+    proxies, grace_s = 400, 40.0
+    long_grace = settings(agents=proxies, mostWaiting=40_000.0)
+    long_grace["guarantees"] = long_grace["guarantees"] | {"drainGraceNs": round(grace_s * 1e9)}
+    fleet = SimulatedFleet(long_grace, proxies, BACKENDS)
+    fleet.join_all(grace_s)
+    fleet.break_streams(0.9)
+    fleet.run(0.5)
+    fleet.deploy(1 / BACKENDS, 1.0)
+    fleet.run(grace_s / 2)
+    channel = fleet.controllers[0].host.policy.channel
+    time_to_all = channel.transfer_time(proxies * (channel.message_cost + 1))
+    # Withdrawals wait for twice the time that one to all proxies takes, then for what is queued, and take that time.
+    latest = 3 * time_to_all + MAX_BUSY_TICKS + channel.max_delay
+    assert fleet.longest_drain_s <= latest / TICKS_PER_SECOND
+
+
 def fleet_with_message_limit() -> SimulatedFleet:
     """Return a few proxies that may be sent a limited number of messages, and use backends of their zone for a group."""
     limited = settings(
