--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -151,13 +151,13 @@
         self.endpoints[name] = self.endpoints[name]._replace(draining=False)
         self.publish(name)
 
-    def deploy(self, fraction: float, seconds: float, zone_by_zone: bool = False) -> None:
-        """Replace a fraction of the backends one after the other within this time."""
+    def deploy(self, fraction: float, seconds: float, zone_by_zone: bool = False, batch_size: int = 1) -> None:
+        """Replace a fraction of the backends within this time, one after the other or some at a time."""
         names = self.random.sample(list(self.endpoints), round(fraction * len(self.endpoints)))
         if zone_by_zone:
             names = sorted(self.endpoints, key=lambda name: self.endpoints[name].zone)[: len(names)]
         for index, name in enumerate(names):
-            delay = round(index * seconds * TICKS_PER_SECOND / len(names))
+            delay = round(index // batch_size * batch_size * seconds * TICKS_PER_SECOND / len(names))
             self.after(delay, lambda name=name: self.replace(name))
 
     # Streams
