Send a withdrawal to as many proxies as there is room for, and record it for the others

What callers saw: where a withdrawal to all proxies is larger than the room in the queue, it went to none (in simulated time, 80 proxies and a queue limit of 500 lines: 16.2 s of 4.2 s without any disruption beside a small deploy). Cause: WithdrawalScheduler.withdraw sent to all holders or, without room for all, to none; the same cause as in the paced channel. Change: where withdrawals can be sent to single proxies, one without room for all is recorded as missed by all, and goes to each as soon as there is room for its message. Evidence: test_a_withdrawal_that_is_larger_than_the_queue_limit_goes_out_in_time fails on the commit before and passes now.

--- a/onyxhead/policy/withdrawals.py
+++ b/onyxhead/policy/withdrawals.py
@@ -94,15 +94,19 @@
         if receivers and self.batching.should_wait(now, due, lines_left, cost, receivers):
             return
         for backend in sorted(due, key=lambda candidate: _urgency(candidate, now)):
-            lines_left -= len(holders[backend.id])
+            informed, postponed = holders[backend.id], gathering[backend.id]
+            lines_left -= len(informed)
             if lines_left < 0:
-                return
+                if not self._missed.enabled:
+                    return
+                # Each proxy gets it as soon as there is room for its own message.
+                informed, postponed = [], postponed + informed
             backend.withdrawn_at = max(1, now)
             self.notifies_all = self._must_notify_all(all_proxies)
-            self._channel.reserve(0, receivers if self.notifies_all else holders[backend.id])
-            self._channel.reserve(1, holders[backend.id])
-            self._missed.add(backend, gathering[backend.id], now)
-            yield Withdrawal(backend.id, True, tuple(proxy.id for proxy in gathering[backend.id]))
+            self._channel.reserve(0, receivers if self.notifies_all else informed)
+            self._channel.reserve(1, informed)
+            self._missed.add(backend, postponed, now)
+            yield Withdrawal(backend.id, True, tuple(proxy.id for proxy in postponed))
 
     def _must_notify_all(self, proxies: Sequence[Proxy]) -> bool:
         """Return whether the round must ask all proxies for an acknowledgement of its withdrawals.
--- a/tests/test_rules_in_deploys.py
+++ b/tests/test_rules_in_deploys.py
@@ -83,7 +83,7 @@
 
 
 def test_a_channel_filled_by_joins_delays_no_withdrawal_at_the_other_proxies() -> None:
-    # Guards against withdrawals that go to all proxies or to none, and so to none while the queue has no room for all.
+    # Guards against withdrawals that wait for room for all proxies behind what those that joined have missed.
     fleet = SimulatedFleet(settings(), PROXIES, BACKENDS)
     fleet.join_all(START_S)
     fleet.deploy(0.6, 7.0)
@@ -92,6 +92,19 @@
     assert fleet.longest_drain_s <= DRAIN_GRACE_S
 
 
+def test_a_withdrawal_that_is_larger_than_the_queue_limit_goes_out_in_time() -> None:
+    # Guards against withdrawals that go to all proxies or to none, and so to none while the queue has no room for all.
+    proxies, lines_per_second = 80, 500.0
+    fleet = SimulatedFleet(
+        settings(agents=proxies, egressPerS=lines_per_second, mostWaiting=lines_per_second), proxies, BACKENDS
+    )
+    fleet.join_all(2 * START_S)
+    fleet.deploy(0.1, 12.0)
+    fleet.run(12.0 + DRAIN_GRACE_S)
+    assert fleet.longest_drain_s <= DRAIN_GRACE_S
+    assert fleet.controllers[0].most_queued_lines <= lines_per_second
+
+
 def test_withdrawals_do_not_wait_for_all_tables_where_the_drain_grace_is_long() -> None:
     # Guards against proxies that use a drained backend until hundreds of others have their tables.
     proxies, grace_s = 400, 40.0
