Tests of the pacing that fail without what they guard

Cause: the test of proxies whose tables have no usable line waited with so few proxies that the channel would not have been paced anyway; and the limit of messages had no test. Change: 120 proxies, with the size asserted; a test of proxies at their limit of messages. No product code changes.

--- a/tests/test_policy_channel_pacing.py
+++ b/tests/test_policy_channel_pacing.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from onyxhead.policy.inputs import WatchEvent
-from tests.policy_harness import draining_endpoint
+from onyxhead.time_units import TICKS_PER_SECOND
+from tests.policy_harness import deployment, draining_endpoint, fleet
 from tests.test_policy_host import HostScenario, ready_endpoints, takeover_scenario
 
 NAMES = [f"s{number}" for number in range(20)]
+WAITING_PROXIES = 120
 
 
 def test_the_channel_is_paced_until_no_joining_proxy_waits_for_its_table() -> None:
@@ -22,13 +24,34 @@
 
 def test_proxies_whose_tables_have_no_usable_line_do_not_hold_up_changes_for_the_others() -> None:
     # Guards against a zone without backends that keeps the channel paced for good, so that no changed line is sent.
-    scenario = HostScenario(proxies=40)
+    scenario = HostScenario(proxies=WAITING_PROXIES)
     scenario.host.on_endpoint_update(scenario.now, WatchEvent.CACHED, [])
-    for proxy in range(40):
+    for proxy in range(WAITING_PROXIES):
         scenario.join(proxy)
     scenario.run(2)
-    assert len(scenario.host.policy.proxies.waiting_for_tables()) == 40
-    assert not scenario.host.policy.pacing.active
+    policy = scenario.host.policy
+    assert len(policy.proxies.waiting_for_tables()) == WAITING_PROXIES
+    # So many messages without a line would keep the channel busy for long enough to pace it.
+    assert (
+        policy.channel.transfer_time(WAITING_PROXIES * policy.channel.message_cost) > policy.withdrawals.batching.window
+    )
+    assert not policy.pacing.active
+
+
+def test_proxies_at_their_limit_of_messages_do_not_keep_the_channel_paced() -> None:
+    # Guards against changes that wait for tables which no message is left for.
+    channel = deployment().channel._replace(max_messages=10, message_window=1_000 * TICKS_PER_SECOND)
+    harness = fleet(6, *range(WAITING_PROXIES), channel=channel, proxies_keep_withdrawals=True)
+    policy = harness.policy
+    for proxy in policy.proxies.all():
+        proxy.has_tables = False
+    policy.channel.begin_round(harness.now, policy.proxies)
+    policy.pacing.begin_round(harness.now)
+    assert policy.pacing.active
+    for proxy in policy.proxies.all():
+        proxy.message_times.extend([harness.now] * 10)
+    policy.pacing.begin_round(harness.now)
+    assert not policy.pacing.active
 
 
 def test_a_withdrawal_at_proxies_with_tables_waits_no_longer_than_room_in_a_paced_channel() -> None:
